--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,12 +10,16 @@
 pub mod drain;
 pub mod feed;
 pub mod findings;
+pub mod fleet;
 #[macro_use]
 pub mod ids;
 pub mod policy;
 pub mod protocol;
 pub mod records;
 pub mod request;
+pub mod routes;
 pub mod settings;
+pub mod staging;
+pub mod targets;
 pub mod ticket;
 pub mod units;
--- a/crates/core/src/policy/mod.rs
+++ b/crates/core/src/policy/mod.rs
@@ -12,7 +12,7 @@
 pub mod routing;
 
 mod decayed_mean;
-mod numbers;
+pub(crate) mod numbers;
 mod quantile_sketch;
 mod workspace_number;
 
--- /dev/null
+++ b/crates/core/src/routes/mod.rs
@@ -0,0 +1,26 @@
+//! Routes of a gateway: what a request's host and path lead to, who may use
+//! it, and what must have happened before it reaches its target.
+
+mod caller_limits;
+mod graph_stage;
+mod route_config;
+mod route_kind;
+mod route_spec;
+mod send_ledger;
+mod service_spec;
+mod split_share;
+mod stage_service;
+mod workspace_keys;
+
+pub use self::{
+    caller_limits::CallerLimits,
+    graph_stage::GraphStage,
+    route_config::RouteConfig,
+    route_kind::RouteKind,
+    route_spec::RouteSpec,
+    send_ledger::{NotRunProof, SendLedger},
+    service_spec::ServiceSpec,
+    split_share::SplitShare,
+    stage_service::StageService,
+    workspace_keys::{KeyVerdict, WorkspaceKeys},
+};
--- /dev/null
+++ b/crates/core/src/routes/stage_service.rs
@@ -0,0 +1,28 @@
+use serde::{Deserialize, Serialize};
+
+use crate::clock::TimeSpan;
+
+/// How one target of a stage's service works. All figures are published with
+/// the service.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct StageService {
+    /// Calls that a target works on at the same time.
+    pub slots: u32,
+    /// Pieces in one call at most.
+    pub batch: usize,
+    /// Time that each call takes, in milliseconds.
+    pub call_ms: f64,
+    /// Time that each piece adds to its call, in milliseconds.
+    pub piece_ms: f64,
+    /// How long a result is kept at its maker.
+    pub result_lifetime: TimeSpan,
+}
+
+impl StageService {
+    /// Expected time of a call with `pieces` pieces, in milliseconds.
+    #[must_use]
+    pub fn call_time(&self, pieces: usize) -> f64 {
+        let pieces = u32::try_from(pieces).unwrap_or(u32::MAX);
+        self.call_ms + self.piece_ms * f64::from(pieces)
+    }
+}
--- /dev/null
+++ b/crates/core/src/routes/workspace_keys.rs
@@ -0,0 +1,51 @@
+use std::collections::HashMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{ids::WorkspaceId, records::SecretDigest};
+
+/// What a key gives access to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum KeyVerdict<'a> {
+    /// The key belongs to a workspace.
+    Holder(&'a WorkspaceId),
+    /// No key was sent, or nobody holds it.
+    Unknown,
+    /// The configuration has no keys; all callers are let in.
+    Open,
+}
+
+/// Keys of all workspaces. Only digests are held.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct WorkspaceKeys {
+    holders: HashMap<String, WorkspaceId>,
+    required: bool,
+}
+
+impl WorkspaceKeys {
+    /// Creates the keys of a configuration that requires them.
+    #[must_use]
+    pub fn required() -> Self {
+        Self {
+            holders: HashMap::new(),
+            required: true,
+        }
+    }
+
+    /// Adds a key of a workspace.
+    pub fn insert(&mut self, key: &[u8], workspace: WorkspaceId) {
+        self.holders
+            .insert(SecretDigest::of(key).to_hex(), workspace);
+    }
+
+    /// Looks a caller's key up.
+    #[must_use]
+    pub fn verdict(&self, key: Option<&[u8]>) -> KeyVerdict<'_> {
+        if !self.required {
+            return KeyVerdict::Open;
+        }
+        let digest = key.map(|key| SecretDigest::of(key).to_hex());
+        let holder = digest.and_then(|digest| self.holders.get(&digest));
+        holder.map_or(KeyVerdict::Unknown, KeyVerdict::Holder)
+    }
+}
--- a/crates/core/src/settings/mod.rs
+++ b/crates/core/src/settings/mod.rs
@@ -6,6 +6,7 @@
 mod admission_policy;
 mod cluster_secret;
 mod drain_settings;
+mod gateway_profile;
 mod log_format;
 mod log_level;
 mod log_settings;
@@ -22,6 +23,7 @@
     admission_policy::AdmissionPolicy,
     cluster_secret::{ClusterSecret, SecretError},
     drain_settings::DrainSettings,
+    gateway_profile::GatewayProfile,
     log_format::LogFormat,
     log_level::LogLevel,
     log_settings::LogSettings,
--- /dev/null
+++ b/crates/core/src/staging/graph_progress.rs
@@ -0,0 +1,130 @@
+use std::sync::Arc;
+
+use crate::routes::GraphStage;
+
+/// How far the stages of one request have come.
+#[derive(Clone, Debug)]
+pub struct GraphProgress {
+    stages: Arc<[GraphStage]>,
+    pieces: Vec<u32>,
+    results: Vec<Option<Vec<String>>>,
+    started: Vec<bool>,
+}
+
+impl GraphProgress {
+    /// Begins the stages of a request that needs `pieces` of each. A stage
+    /// without pieces is left out. Returns nothing if the numbers don't fit
+    /// the stages.
+    #[must_use]
+    pub fn new(stages: Arc<[GraphStage]>, pieces: &[u32]) -> Option<Self> {
+        if pieces.len() != stages.len() {
+            return None;
+        }
+        let results = pieces
+            .iter()
+            .map(|count| (*count == 0).then(Vec::new))
+            .collect();
+        Some(Self {
+            started: vec![false; stages.len()],
+            pieces: pieces.to_vec(),
+            results,
+            stages,
+        })
+    }
+
+    /// Takes the stages that may start now: all that they need is there.
+    pub fn take_ready(&mut self) -> Vec<usize> {
+        let ready: Vec<usize> = (0..self.stages.len())
+            .filter(|stage| !self.started[*stage] && self.results[*stage].is_none())
+            .filter(|stage| {
+                let mut needed = self.stages[*stage].after.iter();
+                needed.all(|before| self.results[*before].is_some())
+            })
+            .collect();
+        for stage in &ready {
+            self.started[*stage] = true;
+        }
+        ready
+    }
+
+    /// Number of pieces of a stage.
+    #[must_use]
+    pub fn pieces(&self, stage: usize) -> u32 {
+        self.pieces[stage]
+    }
+
+    /// Names of all results that a stage needs, or nothing if no stage with
+    /// pieces comes before it.
+    #[must_use]
+    pub fn inputs(&self, stage: usize) -> Vec<String> {
+        let mut inputs = Vec::new();
+        for before in &self.stages[stage].after {
+            self.collect(*before, &mut inputs);
+        }
+        inputs
+    }
+
+    /// Takes in the results of a stage.
+    pub fn finish(&mut self, stage: usize, results: Vec<String>) {
+        self.results[stage] = Some(results);
+    }
+
+    /// Whether all stages are done.
+    #[must_use]
+    pub fn is_done(&self) -> bool {
+        self.results.iter().all(Option::is_some)
+    }
+
+    /// Names of the results of all stages that no other stage follows.
+    #[must_use]
+    pub fn final_results(&self) -> Vec<String> {
+        let finals = self.final_results_sized();
+        finals.map(|(name, _)| name.to_owned()).collect()
+    }
+
+    /// Names of the final results with their approximate sizes in bytes.
+    pub fn final_results_sized(&self) -> impl Iterator<Item = (&str, u64)> {
+        let is_final =
+            move |stage: &usize| !self.stages.iter().any(|other| other.after.contains(stage));
+        (0..self.stages.len())
+            .filter(is_final)
+            .flat_map(move |stage| {
+                let names = self.results[stage].iter().flatten();
+                names.map(move |name| (name.as_str(), self.stages[stage].result_bytes))
+            })
+    }
+
+    /// Results that no stage and not the request itself needs any more.
+    pub fn take_spent(&mut self) -> Vec<String> {
+        let mut spent = Vec::new();
+        for stage in 0..self.stages.len() {
+            let mut followers = (0..self.stages.len())
+                .filter(|other| self.stages[*other].after.contains(&stage))
+                .peekable();
+            let is_final = followers.peek().is_none();
+            let is_spent = followers.all(|other| self.results[other].is_some());
+            if let (false, true, Some(results)) = (is_final, is_spent, &mut self.results[stage]) {
+                spent.append(results);
+            }
+        }
+        spent
+    }
+
+    /// All results that are still held.
+    pub fn take_all(&mut self) -> Vec<String> {
+        let results = self.results.iter_mut().flatten();
+        results.flat_map(std::mem::take).collect()
+    }
+
+    /// The stages, as the route declares them.
+    #[must_use]
+    pub fn stages(&self) -> &[GraphStage] {
+        &self.stages
+    }
+
+    fn collect(&self, stage: usize, names: &mut Vec<String>) {
+        if let Some(results) = &self.results[stage] {
+            names.extend_from_slice(results);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/staging/set_end.rs
@@ -0,0 +1,23 @@
+use super::SetNumber;
+
+/// Why a set of pieces brought no results.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SetFailure {
+    /// Its time is over.
+    Late,
+    /// Results that it needs no longer exist.
+    InputGone,
+    /// Its pieces failed as often as they may be tried.
+    Failed,
+}
+
+/// A set of pieces that is done with.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SetEnd {
+    /// The set.
+    pub set: SetNumber,
+    /// The names of the results by number of piece, or why there are none.
+    pub outcome: Result<Vec<String>, SetFailure>,
+    /// Results that were produced and that nobody will use.
+    pub unused: Vec<String>,
+}
--- /dev/null
+++ b/crates/core/src/staging/stage_queue.rs
@@ -0,0 +1,464 @@
+use std::collections::BTreeMap;
+
+use super::{
+    CallEnd, CallNumber, CallPiece, PieceEnd, SetEnd, SetFailure, SetNumber, StageCall,
+    StageRefusal, StageSet, queue_target::QueueTarget,
+};
+use crate::{
+    clock::{ClockTime, TimeSpan},
+    ids::{TargetId, ZoneName},
+    policy::numbers,
+    routes::StageService,
+};
+
+/// Multiple of a call's expected time after which it is given up.
+const TIMEOUT_FACTOR: f64 = 3.0;
+/// Time added to it for the network and a call that waits at the target.
+const TIMEOUT_SLACK_MS: f64 = 250.0;
+/// Times that one set's pieces are tried again after a failed call.
+const SET_RETRIES: u32 = 2;
+/// First pause of a target after a failed call. Doubles with each further one.
+const FIRST_PAUSE: TimeSpan = TimeSpan::from_millis(500);
+/// Longest pause of a target.
+const LONGEST_PAUSE: TimeSpan = TimeSpan::from_secs(4);
+/// Pause of a target that refused a call.
+const REFUSED_PAUSE: TimeSpan = TimeSpan::from_millis(60);
+/// Pause of a target that has no room for results.
+const NO_ROOM_PAUSE: TimeSpan = TimeSpan::from_millis(100);
+
+/// One waiting or running set.
+#[derive(Clone, Debug)]
+struct QueuedSet {
+    set: StageSet,
+    arrived: u64,
+    /// Pieces that wait for a call.
+    waiting: Vec<u32>,
+    results: Vec<Option<String>>,
+    missing: u32,
+    retries: u32,
+}
+
+/// One call under way.
+#[derive(Clone, Debug)]
+struct RunningCall {
+    target: TargetId,
+    pieces: Vec<CallPiece>,
+    started: ClockTime,
+    expected_ms: f64,
+}
+
+/// Shares the calls of a stage's targets between the requests that wait.
+///
+/// Answers to this load pattern: a call costs a fixed time and a little for
+/// each piece, targets do one call at a time, and in a burst more pieces
+/// arrive than calls of one request each could carry. Pieces wait here, not at
+/// the targets. Calls start one after the other, evenly spread over the time
+/// that a call takes, so that each one collects what has come meanwhile. Sets
+/// that can still meet their goal go first, the most urgent before the others;
+/// then those that can only be late. A set that can't be done before its
+/// deadline is turned away as it arrives.
+#[derive(Clone, Debug)]
+pub struct StageQueue {
+    service: StageService,
+    targets: BTreeMap<TargetId, QueueTarget>,
+    sets: BTreeMap<SetNumber, QueuedSet>,
+    calls: BTreeMap<CallNumber, RunningCall>,
+    next_set: u64,
+    next_call: u64,
+    /// Earliest start of the next call that isn't full.
+    next_start: ClockTime,
+}
+
+impl StageQueue {
+    /// Creates an empty queue.
+    #[must_use]
+    pub const fn new(service: StageService) -> Self {
+        Self {
+            service,
+            targets: BTreeMap::new(),
+            sets: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            next_set: 0,
+            next_call: 0,
+            next_start: ClockTime::ZERO,
+        }
+    }
+
+    /// Takes in a changed description of the service.
+    pub const fn set_service(&mut self, service: StageService) {
+        self.service = service;
+    }
+
+    /// Takes in the targets that the queue may call. Calls under way at others
+    /// go on.
+    pub fn set_targets<Targets>(&mut self, targets: Targets)
+    where
+        Targets: IntoIterator<Item = (TargetId, ZoneName, u32)>,
+    {
+        for target in self.targets.values_mut() {
+            target.listed = false;
+        }
+        for (id, zone, slots) in targets {
+            let target = self
+                .targets
+                .entry(id)
+                .or_insert_with(|| QueueTarget::new(zone, slots));
+            target.slots = slots.max(1);
+            target.listed = true;
+        }
+        self.targets
+            .retain(|_, target| target.listed || target.running > 0);
+    }
+
+    /// Takes in a set of pieces.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a set that would not be done before its deadline.
+    pub fn offer(&mut self, set: StageSet, now: ClockTime) -> Result<SetNumber, StageRefusal> {
+        let ahead = self.pieces_ahead(&set, now);
+        let done_at = now + self.drain_time(ahead + count(set.pieces), now);
+        if set.refusable && done_at > set.dead_at {
+            let over = set.dead_at.until(done_at);
+            return Err(StageRefusal { retry_after: over });
+        }
+        let number = SetNumber(self.next_set);
+        self.next_set += 1;
+        self.sets.insert(
+            number,
+            QueuedSet {
+                set,
+                arrived: number.0,
+                waiting: (0..set.pieces).collect(),
+                results: vec![None; count(set.pieces)],
+                missing: set.pieces,
+                retries: 0,
+            },
+        );
+        Ok(number)
+    }
+
+    /// Takes a set back. Returns the results that were produced for it.
+    pub fn cancel(&mut self, number: SetNumber) -> Vec<String> {
+        let set = self.sets.remove(&number);
+        set.map(|set| set.results.into_iter().flatten().collect())
+            .unwrap_or_default()
+    }
+
+    /// Time until all that waits is expected to be done.
+    #[must_use]
+    pub fn backlog(&self, now: ClockTime) -> TimeSpan {
+        let waiting = self.sets.values().map(|set| set.waiting.len()).sum();
+        self.drain_time(waiting, now)
+    }
+
+    /// Pieces that wait for a call.
+    #[must_use]
+    pub fn waiting_pieces(&self) -> usize {
+        self.sets.values().map(|set| set.waiting.len()).sum()
+    }
+
+    /// Zone of a target.
+    #[must_use]
+    pub fn zone_of(&self, target: &TargetId) -> Option<&ZoneName> {
+        self.targets.get(target).map(|target| &target.zone)
+    }
+
+    /// Sets whose time is over before any of their pieces was sent. They end
+    /// here.
+    pub fn take_late(&mut self, now: ClockTime) -> Vec<SetEnd> {
+        let is_late = |set: &QueuedSet| {
+            let untouched = set.waiting.len() == set.results.len();
+            untouched && set.set.dead_at <= now
+        };
+        let late: Vec<SetNumber> = self
+            .sets
+            .iter()
+            .filter(|(_, set)| is_late(set))
+            .map(|(number, _)| *number)
+            .collect();
+        late.into_iter()
+            .map(|number| self.fail(number, SetFailure::Late))
+            .collect()
+    }
+
+    /// The next call to make, if there is one. Asked again until there is
+    /// none.
+    #[must_use]
+    pub fn plan(&mut self, now: ClockTime) -> Option<StageCall> {
+        let target = self.pick_target(now)?;
+        let order = self.order(now);
+        let waiting: usize = self.sets.values().map(|set| set.waiting.len()).sum();
+        if waiting == 0 || (waiting < self.service.batch && now < self.next_start) {
+            return None;
+        }
+        let mut pieces = Vec::new();
+        for number in order {
+            let set = self.sets.get_mut(&number)?;
+            while pieces.len() < self.service.batch {
+                let Some(piece) = set.waiting.first().copied() else {
+                    break;
+                };
+                set.waiting.remove(0);
+                pieces.push(CallPiece {
+                    set: number,
+                    piece,
+                    left: now.until(set.set.dead_at),
+                });
+            }
+        }
+        let expected_ms = self.service.call_time(pieces.len());
+        let number = CallNumber(self.next_call);
+        self.next_call += 1;
+        let places = self.open_places(now).max(1.0);
+        self.next_start = now + numbers::span(expected_ms / places);
+        let state = self.targets.get_mut(&target)?;
+        state.running += 1;
+        let pace = state.pace.max(1.0);
+        self.calls.insert(
+            number,
+            RunningCall {
+                target: target.clone(),
+                pieces: pieces.clone(),
+                started: now,
+                expected_ms,
+            },
+        );
+        Some(StageCall {
+            number,
+            target,
+            pieces,
+            timeout: numbers::span(expected_ms * pace.min(2.0) * TIMEOUT_FACTOR + TIMEOUT_SLACK_MS),
+        })
+    }
+
+    /// When [`Self::plan`] should be asked again, if nothing else happens.
+    #[must_use]
+    pub fn next_time(&self, now: ClockTime) -> Option<ClockTime> {
+        let waits = self.sets.values().any(|set| !set.waiting.is_empty());
+        if !waits {
+            return None;
+        }
+        let has_free = self.targets.values().any(|target| target.is_free(now));
+        if has_free {
+            return Some(self.next_start);
+        }
+        let paused = self.targets.values().filter(|target| {
+            target.listed && target.running < target.slots && target.paused_until > now
+        });
+        let resumes = paused.map(|target| target.paused_until).min();
+        let dead = self.sets.values().map(|set| set.set.dead_at).min();
+        resumes.into_iter().chain(dead).min()
+    }
+
+    /// Takes in the end of a call. Returns the sets that are done with.
+    pub fn finish(&mut self, number: CallNumber, end: CallEnd, now: ClockTime) -> Vec<SetEnd> {
+        let Some(call) = self.calls.remove(&number) else {
+            return Vec::new();
+        };
+        self.observe(&call, &end, now);
+        match end {
+            CallEnd::Answered(ends) if ends.len() == call.pieces.len() => {
+                let mut done = Vec::new();
+                for (piece, end) in call.pieces.iter().zip(ends) {
+                    done.extend(self.finish_piece(*piece, end, now));
+                }
+                done
+            }
+            CallEnd::Refused => {
+                for piece in call.pieces {
+                    self.requeue(piece);
+                }
+                Vec::new()
+            }
+            CallEnd::Answered(_) | CallEnd::Failed => self.retry(&call.pieces, now),
+        }
+    }
+
+    fn finish_piece(&mut self, piece: CallPiece, end: PieceEnd, now: ClockTime) -> Option<SetEnd> {
+        let Some(set) = self.sets.get_mut(&piece.set) else {
+            let PieceEnd::Held(name) = end else {
+                return None;
+            };
+            return Some(SetEnd {
+                set: piece.set,
+                outcome: Err(SetFailure::Late),
+                unused: vec![name],
+            });
+        };
+        match end {
+            PieceEnd::Held(name) => {
+                let place = set.results.get_mut(count(piece.piece))?;
+                if place.replace(name).is_none() {
+                    set.missing = set.missing.saturating_sub(1);
+                }
+                if set.missing > 0 {
+                    return None;
+                }
+                let set = self.sets.remove(&piece.set)?;
+                Some(SetEnd {
+                    set: piece.set,
+                    outcome: Ok(set.results.into_iter().flatten().collect()),
+                    unused: Vec::new(),
+                })
+            }
+            PieceEnd::Late => Some(self.fail(piece.set, SetFailure::Late)),
+            PieceEnd::InputGone => Some(self.fail(piece.set, SetFailure::InputGone)),
+            PieceEnd::NoRoom | PieceEnd::Failed => self.retry(&[piece], now).pop(),
+        }
+    }
+
+    /// Puts pieces of a failed call back, once for each set; sets that have
+    /// failed too often end.
+    fn retry(&mut self, pieces: &[CallPiece], now: ClockTime) -> Vec<SetEnd> {
+        let mut sets: Vec<SetNumber> = pieces.iter().map(|piece| piece.set).collect();
+        sets.dedup();
+        let mut done = Vec::new();
+        for number in sets {
+            let Some(set) = self.sets.get_mut(&number) else {
+                continue;
+            };
+            set.retries += 1;
+            if set.retries > SET_RETRIES {
+                done.push(self.fail(number, SetFailure::Failed));
+            } else if set.set.dead_at <= now {
+                done.push(self.fail(number, SetFailure::Late));
+            } else {
+                for piece in pieces.iter().filter(|piece| piece.set == number) {
+                    self.requeue(*piece);
+                }
+            }
+        }
+        done
+    }
+
+    fn requeue(&mut self, piece: CallPiece) {
+        let Some(set) = self.sets.get_mut(&piece.set) else {
+            return;
+        };
+        let is_missing = set.results.get(count(piece.piece)) == Some(&None);
+        if is_missing && !set.waiting.contains(&piece.piece) {
+            set.waiting.push(piece.piece);
+        }
+    }
+
+    fn fail(&mut self, number: SetNumber, failure: SetFailure) -> SetEnd {
+        SetEnd {
+            set: number,
+            outcome: Err(failure),
+            unused: self.cancel(number),
+        }
+    }
+
+    fn observe(&mut self, call: &RunningCall, end: &CallEnd, now: ClockTime) {
+        let Some(target) = self.targets.get_mut(&call.target) else {
+            return;
+        };
+        target.running = target.running.saturating_sub(1);
+        let took = numbers::millis(now.since(call.started));
+        match end {
+            CallEnd::Answered(ends) => {
+                target.failures = 0;
+                target.observe_pace(took / call.expected_ms.max(1.0));
+                if ends.contains(&PieceEnd::NoRoom) {
+                    target.paused_until = now + NO_ROOM_PAUSE;
+                }
+            }
+            CallEnd::Refused => target.paused_until = now + REFUSED_PAUSE,
+            CallEnd::Failed => {
+                let doublings = target.failures.min(8);
+                target.failures += 1;
+                let pause = (FIRST_PAUSE * (1 << doublings)).min(LONGEST_PAUSE);
+                target.paused_until = now + pause;
+            }
+        }
+        self.targets
+            .retain(|_, target| target.listed || target.running > 0);
+    }
+
+    /// The free target that is expected to be the quickest. A slow one gets a
+    /// call only if more waits than one call of the others can carry.
+    fn pick_target(&self, now: ClockTime) -> Option<TargetId> {
+        let waiting = self.waiting_pieces();
+        let any_quick = self
+            .targets
+            .values()
+            .any(|target| target.listed && !target.is_slow() && target.paused_until <= now);
+        let free = self.targets.iter().filter(|(_, target)| {
+            let worth_it = !target.is_slow() || !any_quick || waiting > self.service.batch;
+            target.is_free(now) && worth_it
+        });
+        let best = free.min_by(|left, right| left.1.pace.total_cmp(&right.1.pace))?;
+        Some(best.0.clone())
+    }
+
+    /// Sets in the order in which they get places in calls.
+    fn order(&self, now: ClockTime) -> Vec<SetNumber> {
+        let least = now + numbers::span(self.service.call_time(1));
+        let mut order: Vec<_> = self
+            .sets
+            .iter()
+            .filter(|(_, set)| !set.waiting.is_empty())
+            .map(|(number, set)| {
+                let is_late = set.set.goal_at < least;
+                let due = if is_late {
+                    set.set.dead_at
+                } else {
+                    set.set.goal_at
+                };
+                // Sets that were begun are finished first: half a set is of
+                // no use to anyone.
+                let is_whole = set.waiting.len() == set.results.len();
+                ((is_late, is_whole, due, set.arrived), *number)
+            })
+            .collect();
+        order.sort_unstable();
+        order.into_iter().map(|(_, number)| number).collect()
+    }
+
+    /// Pieces that wait and come before a new set.
+    fn pieces_ahead(&self, set: &StageSet, now: ClockTime) -> usize {
+        let least = now + numbers::span(self.service.call_time(1));
+        let is_late = set.goal_at < least;
+        let comes_before = |other: &&QueuedSet| {
+            let other_late = other.set.goal_at < least;
+            match (other_late, is_late) {
+                (false, true) => true,
+                (true, false) => false,
+                (false, false) => other.set.goal_at <= set.goal_at,
+                (true, true) => other.set.dead_at <= set.dead_at,
+            }
+        };
+        let ahead = self.sets.values().filter(comes_before);
+        ahead.map(|set| set.waiting.len()).sum()
+    }
+
+    /// Expected time until `pieces` pieces are done by the targets that work.
+    fn drain_time(&self, pieces: usize, now: ClockTime) -> TimeSpan {
+        let places = self.open_places(now);
+        if places <= 0.0 {
+            return LONGEST_PAUSE;
+        }
+        let calls = pieces.div_ceil(self.service.batch.max(1));
+        let full_ms = self.service.call_time(self.service.batch);
+        let last_ms = self.service.call_time(pieces.min(self.service.batch));
+        // The calls under way end on average after half of their time.
+        let busy = numbers::count(self.calls.len()).min(places) / places;
+        let rounds = (numbers::count(calls) / places - 1.0).max(0.0);
+        numbers::span(full_ms * rounds + full_ms * 0.5 * busy + last_ms)
+    }
+
+    /// Calls that the targets can work on at the same time, counted by pace.
+    fn open_places(&self, now: ClockTime) -> f64 {
+        let open = self
+            .targets
+            .values()
+            .filter(|target| target.listed && target.paused_until <= now);
+        open.map(|target| f64::from(target.slots) / target.pace.max(1.0))
+            .sum()
+    }
+}
+
+fn count(number: u32) -> usize {
+    usize::try_from(number).unwrap_or(usize::MAX)
+}
--- /dev/null
+++ b/crates/core/src/targets/mod.rs
@@ -0,0 +1,17 @@
+//! Targets that register themselves: which of them may get work, also while
+//! the registry is away.
+
+mod choice_ask;
+mod load_report;
+mod registry_change;
+mod store_contact;
+mod target_loads;
+mod target_record;
+mod target_registry;
+mod target_state;
+
+pub use self::{
+    choice_ask::ChoiceAsk, load_report::LoadReport, registry_change::RegistryChange,
+    store_contact::StoreContact, target_loads::TargetLoads, target_record::TargetRecord,
+    target_registry::TargetRegistry, target_state::TargetState,
+};
--- /dev/null
+++ b/crates/core/src/targets/registry_change.rs
@@ -0,0 +1,27 @@
+use super::TargetRecord;
+use crate::ids::{RevisionNumber, TargetId};
+
+/// One change of the registry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RegistryChange {
+    /// A target wrote its record.
+    Put(TargetRecord),
+    /// A record is gone.
+    Removed {
+        /// The target.
+        id: TargetId,
+        /// Revision of the removal.
+        revision: RevisionNumber,
+    },
+}
+
+impl RegistryChange {
+    /// The target that the change is about.
+    #[must_use]
+    pub const fn id(&self) -> &TargetId {
+        match self {
+            Self::Put(record) => &record.id,
+            Self::Removed { id, .. } => id,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/targets/target_loads.rs
@@ -0,0 +1,214 @@
+use std::{collections::BTreeMap, sync::Arc};
+
+use fastrand::Rng;
+
+use super::{ChoiceAsk, LoadReport, TargetRecord};
+use crate::{
+    clock::{ClockTime, TimeSpan},
+    cluster::rendezvous,
+    ids::TargetId,
+    policy::{
+        DecayedMean,
+        health::{CallOutcome, HealthRule, TargetHealth},
+        numbers,
+    },
+};
+
+/// Age at which a report says nothing any more. Requests take some hundred
+/// milliseconds.
+const REPORT_LIFETIME: TimeSpan = TimeSpan::from_millis(1_000);
+/// Weight of the latest call in a target's share of failures.
+const FAILURE_WEIGHT: f64 = 0.15;
+/// How much worse a target looks that fails all calls.
+const FAILURE_PENALTY: f64 = 12.0;
+/// Share by which targets of the same load may look different, so that nodes
+/// with the same reports don't all choose the same one.
+const NOISE: f64 = 0.2;
+/// Load at which a target keeps requests of its affinity, against the mean.
+const AFFINITY_FACTOR: f64 = 1.5;
+/// Load that an affinity may add to the mean whatever the factor says.
+const AFFINITY_SLACK: f64 = 4.0;
+/// When targets are left out: three failures in a row, for a second at first.
+/// Faults of a few seconds are usual, so the longest pause is short as well.
+const HEALTH_RULE: HealthRule = HealthRule {
+    failure_limit: 3,
+    slow_factor: 3.0,
+    slow_samples: 10,
+    first_ejection: TimeSpan::from_millis(700),
+    longest_ejection: TimeSpan::from_millis(3_000),
+    ejected_share: 0.5,
+    slow_start: TimeSpan::from_millis(1_000),
+};
+
+/// What a gateway knows of one target's load and health.
+#[derive(Debug, Default)]
+struct TargetLoad {
+    in_flight: u32,
+    report: Option<LoadReport>,
+    /// Own requests in flight when the report arrived.
+    in_flight_then: u32,
+    health: TargetHealth,
+    failures: DecayedMean,
+}
+
+impl TargetLoad {
+    /// Requests at the target: those of the last report and those sent since.
+    fn estimate(&self, now: ClockTime) -> f64 {
+        let own = f64::from(self.in_flight);
+        let fresh = self
+            .report
+            .filter(|report| now.since(report.at) < REPORT_LIFETIME);
+        fresh.map_or(own, |report| {
+            let age = numbers::millis(now.since(report.at));
+            let faded = 1.0 - age / numbers::millis(REPORT_LIFETIME);
+            let reported = f64::from(report.running + report.waiting) * faded;
+            let since = f64::from(self.in_flight.saturating_sub(self.in_flight_then));
+            (reported + since).max(own)
+        })
+    }
+}
+
+/// Load and health of all targets, as this gateway sees them.
+///
+/// Answers to this load pattern: many nodes see the same late reports, some
+/// targets fail a share of their requests or fall silent for seconds, and a
+/// burst must not be sent where the last report was good.
+#[derive(Debug, Default)]
+pub struct TargetLoads {
+    loads: BTreeMap<TargetId, TargetLoad>,
+}
+
+impl TargetLoads {
+    /// Counts a request as sent.
+    pub fn begin(&mut self, target: &TargetId) {
+        self.loads.entry(target.clone()).or_default().in_flight += 1;
+    }
+
+    /// Counts a request as done with.
+    pub fn end(&mut self, target: &TargetId, outcome: CallOutcome, now: ClockTime) {
+        let Some(load) = self.loads.get_mut(target) else {
+            return;
+        };
+        load.in_flight = load.in_flight.saturating_sub(1);
+        let failed = match outcome {
+            CallOutcome::Cancelled => return,
+            CallOutcome::Answered | CallOutcome::Refused => 0.0,
+            CallOutcome::Failed | CallOutcome::Stalled => 1.0,
+        };
+        load.failures.observe(failed, FAILURE_WEIGHT);
+        if load.health.observe(outcome, &HEALTH_RULE) {
+            load.health.eject(&HEALTH_RULE, now);
+        }
+    }
+
+    /// Takes in a report.
+    pub fn report(&mut self, target: &TargetId, report: LoadReport) {
+        let load = self.loads.entry(target.clone()).or_default();
+        load.in_flight_then = load.in_flight;
+        load.report = Some(report);
+    }
+
+    /// Forgets targets that are no longer registered and have no requests.
+    pub fn retain<Known>(&mut self, is_known: Known)
+    where
+        Known: Fn(&TargetId) -> bool,
+    {
+        self.loads
+            .retain(|target, load| load.in_flight > 0 || is_known(target));
+    }
+
+    /// Chooses a target for a request. Targets in the wanted zone go first,
+    /// then the one that may hold the prompt if its load allows it, then the
+    /// one with the least expected work.
+    #[must_use]
+    pub fn choose(
+        &self,
+        candidates: &[Arc<TargetRecord>],
+        ask: &ChoiceAsk<'_>,
+    ) -> Option<Arc<TargetRecord>> {
+        let untried: Vec<_> = candidates
+            .iter()
+            .filter(|record| !ask.tried.contains(&record.id))
+            .collect();
+        let usable = self.without_ejected(untried, ask.now);
+        let near: Vec<_> = usable
+            .iter()
+            .copied()
+            .filter(|record| ask.zone == Some(&record.zone))
+            .collect();
+        let pool = if near.is_empty() { usable } else { near };
+        let chosen = self
+            .by_affinity(&pool, ask)
+            .or_else(|| self.by_load(&pool, ask))?;
+        Some(Arc::clone(chosen))
+    }
+
+    fn without_ejected<'a>(
+        &self,
+        records: Vec<&'a Arc<TargetRecord>>,
+        now: ClockTime,
+    ) -> Vec<&'a Arc<TargetRecord>> {
+        let is_ejected = |record: &Arc<TargetRecord>| {
+            let load = self.loads.get(&record.id);
+            load.is_some_and(|load| load.health.is_ejected(now))
+        };
+        let healthy: Vec<_> = records
+            .iter()
+            .copied()
+            .filter(|record| !is_ejected(record))
+            .collect();
+        let ejected = records.len() - healthy.len();
+        if healthy.is_empty() || ejected > HEALTH_RULE.ejected_limit(records.len()) {
+            return records;
+        }
+        healthy
+    }
+
+    fn by_affinity<'a>(
+        &self,
+        pool: &[&'a Arc<TargetRecord>],
+        ask: &ChoiceAsk<'_>,
+    ) -> Option<&'a Arc<TargetRecord>> {
+        let affinity = ask.affinity?;
+        let holder = pool.iter().max_by_key(|record| {
+            rendezvous::score(affinity, rendezvous::text_hash(record.id.as_str()))
+        })?;
+        let total: f64 = pool
+            .iter()
+            .map(|record| self.estimate(record, ask.now))
+            .sum();
+        let mean = total / numbers::count(pool.len()).max(1.0);
+        let load = self.estimate(holder, ask.now);
+        let is_sound = self.penalty(holder, ask.now) < 2.0;
+        let fits = load <= mean * AFFINITY_FACTOR + AFFINITY_SLACK;
+        (is_sound && fits).then_some(*holder)
+    }
+
+    fn by_load<'a>(
+        &self,
+        pool: &[&'a Arc<TargetRecord>],
+        ask: &ChoiceAsk<'_>,
+    ) -> Option<&'a Arc<TargetRecord>> {
+        let mut rng = Rng::with_seed(ask.seed);
+        let scored = pool.iter().map(|record| {
+            let slots = f64::from(record.slots.max(1));
+            let load = (self.estimate(record, ask.now) + 1.0) / slots;
+            let noise = 1.0 + NOISE * rng.f64();
+            (load * self.penalty(record, ask.now) * noise, *record)
+        });
+        let best = scored.min_by(|left, right| left.0.total_cmp(&right.0))?;
+        Some(best.1)
+    }
+
+    fn estimate(&self, record: &TargetRecord, now: ClockTime) -> f64 {
+        let load = self.loads.get(&record.id);
+        load.map_or(0.0, |load| load.estimate(now))
+    }
+
+    fn penalty(&self, record: &TargetRecord, now: ClockTime) -> f64 {
+        self.loads.get(&record.id).map_or(1.0, |load| {
+            let share = load.failures.get().unwrap_or(0.0);
+            load.health.penalty(&HEALTH_RULE, now) * (1.0 + FAILURE_PENALTY * share)
+        })
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/front/target_send.rs
@@ -0,0 +1,224 @@
+use std::sync::Arc;
+
+use verbenahub_core::{
+    clock::TimeSpan,
+    cluster::rendezvous,
+    ids::ZoneName,
+    policy::health::CallOutcome,
+    routes::SendLedger,
+    targets::{ChoiceAsk, TargetRecord},
+};
+use verbenahub_platform::headers;
+
+use super::{
+    ActiveRequest, OwnAnswer,
+    forward_headers::{ForwardExtras, forward_headers},
+};
+use crate::{
+    process::Shared,
+    targets::{ExchangeAsk, SendError, TargetExchange},
+};
+
+/// Targets that are tried at most, those included that can't be reached.
+const TRIES: usize = 4;
+/// When a caller may come back whose request no target takes.
+const REFUSED_RETRY: TimeSpan = TimeSpan::from_millis(150);
+/// Multiple of a route's goal after which the first of several attempts at a
+/// short call is given up for another one.
+const PLAIN_PATIENCE: u64 = 2;
+/// Least time that the first of several attempts gets.
+const LEAST_PATIENCE: TimeSpan = TimeSpan::from_millis(300);
+
+/// Sends one request to targets until one answers.
+#[derive(Debug)]
+pub(super) struct TargetSend<'a> {
+    pub(super) shared: &'a Shared,
+    pub(super) request: &'a ActiveRequest,
+    pub(super) ledger: SendLedger,
+    /// Results that the target reads first.
+    pub(super) inputs: Option<Vec<String>>,
+    /// Zone in which they lie.
+    pub(super) zone: Option<ZoneName>,
+}
+
+impl<'a> TargetSend<'a> {
+    pub(super) fn new(shared: &'a Shared, request: &'a ActiveRequest) -> Self {
+        Self {
+            shared,
+            request,
+            ledger: SendLedger::default(),
+            inputs: None,
+            zone: None,
+        }
+    }
+
+    /// Whether another target may get the request.
+    pub(super) fn may_send(&self) -> bool {
+        let route = &self.request.route;
+        self.ledger.tries() < TRIES && self.ledger.may_send(route.may_repeat(), route.attempts)
+    }
+
+    /// Whether a stream may go on at another target if this one falls silent.
+    pub(super) fn may_resume(&self) -> bool {
+        self.ledger.sends() < self.request.route.attempts && self.ledger.tries() < TRIES
+    }
+
+    /// Takes an attempt beyond the first from the budget.
+    pub(super) fn may_retry(&self) -> bool {
+        if !self.may_send() || self.request.left(self.shared.now()).is_zero() {
+            return false;
+        }
+        let granted = self.ledger.sends() == 0 || self.shared.retries.try_spend();
+        slog::info!(self.shared.log, "request: Another attempt.";
+            "request" => &self.request.id, "sends" => self.ledger.sends(), "granted" => granted);
+        granted
+    }
+
+    /// Sends the request to the best target and waits for the head of its
+    /// answer. Goes on to others as long as none has run it.
+    ///
+    /// # Errors
+    ///
+    /// Gives the gateway's answer if no target answers.
+    pub(super) async fn begin(
+        &mut self,
+        last_event: Option<&str>,
+    ) -> Result<TargetExchange, OwnAnswer> {
+        loop {
+            let Some(record) = self.choose() else {
+                return Err(self.give_up("no_target"));
+            };
+            match self.send(&record, last_event).await {
+                Ok(exchange) => {
+                    let refused = exchange.head.headers.get(headers::NOT_RUN).is_some();
+                    if !refused {
+                        return Ok(exchange);
+                    }
+                    self.drain(exchange).await;
+                    self.ledger.note_not_run();
+                    if !self.may_retry() {
+                        return Err(self.give_up("target_refused"));
+                    }
+                }
+                Err(error) if error.is_not_run() => {
+                    self.ledger.note_not_sent();
+                    if !self.may_retry() {
+                        return Err(self.give_up("target_unreachable"));
+                    }
+                }
+                Err(_) => {
+                    self.ledger.note_ran();
+                    if !self.may_retry() {
+                        return Err(self.give_up("target_failed"));
+                    }
+                }
+            }
+        }
+    }
+
+    /// The gateway's answer to a request that it gives up on.
+    pub(super) fn give_up(&self, code: &'static str) -> OwnAnswer {
+        if let Some(proof) = self.ledger.not_run() {
+            return OwnAnswer::not_run(proof, code, REFUSED_RETRY);
+        }
+        if self.request.left(self.shared.now()).is_zero() {
+            return OwnAnswer::timed_out();
+        }
+        OwnAnswer::outcome_unknown()
+    }
+
+    async fn send(
+        &mut self,
+        record: &Arc<TargetRecord>,
+        last_event: Option<&str>,
+    ) -> Result<TargetExchange, SendError> {
+        let request = self.request;
+        let left = request.left(self.shared.now());
+        let extras = ForwardExtras {
+            inputs: self.inputs.as_deref(),
+            last_event,
+        };
+        let ask = ExchangeAsk {
+            method: &request.head.method,
+            target: &request.head.target,
+            headers: forward_headers(request, record, left, extras),
+            body: has_body(request).then_some(&request.body),
+            request: Some(&request.id),
+            head_timeout: self.patience(left),
+        };
+        self.ledger.send(record.id.clone());
+        if self.ledger.sends() == 1 {
+            self.shared.retries.earn();
+        }
+        let begun = self.shared.now();
+        let result = TargetExchange::begin(self.shared, record, ask).await;
+        let end = match &result {
+            Ok(exchange) => exchange.head.status.to_string(),
+            Err(error) => error.to_string(),
+        };
+        let label = result
+            .as_ref()
+            .map_or_else(SendError::label, |_| "answered");
+        let attempts = &self.shared.metrics.attempts;
+        let service = request.service.as_str();
+        attempts.with_label_values(&[service, label]).inc();
+        slog::info!(self.shared.log, "request: Attempt ended.";
+            "request" => &request.id, "target" => %record.id, "zone" => %record.zone,
+            "attempt" => self.ledger.tries(), "end" => end,
+            "targets_revision" => %record.revision, "left" => %left,
+            "took" => %self.shared.now().since(begun));
+        result
+    }
+
+    /// Time until the head of an answer: all that is left, or less if another
+    /// target could be asked.
+    fn patience(&self, left: TimeSpan) -> TimeSpan {
+        let route = &self.request.route;
+        let is_last = self.ledger.sends() + 1 >= route.attempts || !route.may_repeat();
+        if is_last {
+            return left;
+        }
+        let patience = if route.kind == verbenahub_core::routes::RouteKind::Streaming {
+            route.goal
+        } else {
+            route.goal * PLAIN_PATIENCE
+        };
+        patience.max(LEAST_PATIENCE).min(left)
+    }
+
+    fn choose(&self) -> Option<Arc<TargetRecord>> {
+        let candidates = self.shared.ready_targets(&self.request.service);
+        let ask = ChoiceAsk {
+            now: self.shared.now(),
+            tried: self.ledger.tried(),
+            zone: self.zone.as_ref(),
+            affinity: prompt_affinity(self.request),
+            seed: self.shared.random(),
+        };
+        self.shared.loads.borrow().choose(&candidates, &ask)
+    }
+
+    /// Reads a refusal to its end, so that its connection can be used again.
+    async fn drain(&self, mut exchange: TargetExchange) {
+        if let Err(error) = exchange.collect().await {
+            slog::debug!(self.shared.log, "request: Refusal broke off.";
+                "request" => &self.request.id, "error" => %error);
+        }
+        exchange.note_outcome(CallOutcome::Refused);
+    }
+}
+
+fn has_body(request: &ActiveRequest) -> bool {
+    let is_declared = ["Content-Length", "Transfer-Encoding"];
+    let mut names = is_declared.iter();
+    !request.body.is_empty() || names.any(|name| request.head.headers.get(name).is_some())
+}
+
+/// Hash of the last part of the prompt that other requests share. The last
+/// part of all is the request's own.
+fn prompt_affinity(request: &ActiveRequest) -> Option<u64> {
+    let parts = request.head.headers.text(headers::PROMPT_PARTS)?;
+    let mut ids = parts.split(',').rev().skip(1);
+    let (id, _) = ids.next()?.split_once(':')?;
+    Some(rendezvous::text_hash(id.trim()))
+}
--- /dev/null
+++ b/crates/gateway/src/http/response_head.rs
@@ -0,0 +1,36 @@
+use bytes::{Bytes, BytesMut};
+
+use super::HeaderList;
+
+/// Head of a response as it was received.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ResponseHead {
+    /// Status.
+    pub status: u16,
+    /// Reason phrase.
+    pub reason: Bytes,
+    /// Whether the sender speaks HTTP/1.0.
+    pub is_old: bool,
+    /// Headers.
+    pub headers: HeaderList,
+}
+
+impl ResponseHead {
+    /// Whether the sender will close the connection after the body.
+    #[must_use]
+    pub fn closes(&self) -> bool {
+        self.is_old || self.headers.lists("connection", "close")
+    }
+
+    /// Writes the head with headers of its own.
+    #[must_use]
+    pub fn encode(status: u16, reason: &[u8], headers: &HeaderList) -> BytesMut {
+        let mut buffer = BytesMut::with_capacity(1 << 10);
+        buffer.extend_from_slice(format!("HTTP/1.1 {status} ").as_bytes());
+        buffer.extend_from_slice(reason);
+        buffer.extend_from_slice(b"\r\n");
+        headers.write(&mut buffer);
+        buffer.extend_from_slice(b"\r\n");
+        buffer
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peers/gossip_round.rs
@@ -0,0 +1,134 @@
+use std::{net::SocketAddr, time::Duration};
+
+use fastrand::Rng;
+use smol::Timer;
+use verbenahub_core::{clock::TimeSpan, ids::NodeId};
+
+use super::{GOSSIP_PATH, GossipNote, GossipReply, PeerError};
+use crate::process::Shared;
+
+/// Interval between rounds of a node that the store answers.
+const USUAL_INTERVAL: TimeSpan = TimeSpan::from_millis(1_000);
+/// Interval between rounds of a node that depends on others for news.
+const URGENT_INTERVAL: TimeSpan = TimeSpan::from_millis(300);
+/// Time for an answer to a note.
+const ANSWER_TIMEOUT: TimeSpan = TimeSpan::from_millis(800);
+/// One round in so many goes to a seed, so that parts of a fleet that don't
+/// know of each other meet again.
+const SEED_ROUNDS: u64 = 8;
+
+/// Tells other gateways what this one knows, and takes over what it lacks.
+#[derive(Debug)]
+pub struct GossipRound {
+    shared: Shared,
+    seeds: Vec<SocketAddr>,
+    rng: Rng,
+    rounds: u64,
+}
+
+impl GossipRound {
+    /// Creates the rounds of a node.
+    #[must_use]
+    pub fn new(shared: Shared) -> Self {
+        let own = shared.profile.peers;
+        let seeds = shared.profile.seeds.iter().copied();
+        Self {
+            seeds: seeds.filter(|seed| *seed != own).collect(),
+            rng: Rng::with_seed(shared.random()),
+            shared,
+            rounds: 0,
+        }
+    }
+
+    /// Gossips until the future is dropped.
+    pub async fn run(mut self) {
+        loop {
+            self.note_pause();
+            let members = self.shared.fleet.borrow_mut().round(self.shared.now());
+            let others = i64::try_from(members.len()).unwrap_or(i64::MAX);
+            self.shared.metrics.members.set(others);
+            if let Some((node, address)) = self.next_peer() {
+                self.exchange(node, address).await;
+            }
+            self.rounds += 1;
+            let in_contact = self.shared.contact.borrow().is_answering();
+            let interval = if in_contact && self.shared.is_ready() {
+                USUAL_INTERVAL
+            } else {
+                URGENT_INTERVAL
+            };
+            let jitter = 0.75 + self.rng.f64() * 0.5;
+            Timer::after(Duration::from(interval).mul_f64(jitter)).await;
+        }
+    }
+
+    fn next_peer(&mut self) -> Option<(Option<NodeId>, SocketAddr)> {
+        let other = self.shared.fleet.borrow().random_other(&mut self.rng);
+        let wants_seed = other.is_none() || self.rounds.is_multiple_of(SEED_ROUNDS);
+        if wants_seed && !self.seeds.is_empty() {
+            let place = self.rng.usize(0..self.seeds.len());
+            return Some((None, self.seeds[place]));
+        }
+        other.map(|(node, address)| (Some(node), address))
+    }
+
+    async fn exchange(&self, node: Option<NodeId>, address: SocketAddr) {
+        let own = GossipNote::of(&self.shared, self.shared.now());
+        let peers = &self.shared.peers;
+        let reply = peers.call(address, GOSSIP_PATH, &own, ANSWER_TIMEOUT).await;
+        let end = if reply.is_ok() { "answered" } else { "failed" };
+        let calls = &self.shared.metrics.peer_calls;
+        calls.with_label_values(&["gossip", end]).inc();
+        match reply {
+            Ok(reply) => self.take(reply, address),
+            Err(error) => self.note_failure(node, address, &error),
+        }
+    }
+
+    fn take(&self, reply: GossipReply, address: SocketAddr) {
+        let now = self.shared.now();
+        let GossipReply {
+            note,
+            config,
+            targets,
+        } = reply;
+        self.shared.fleet.borrow_mut().merge(note.members, now);
+        if let Some(config) = config {
+            self.shared.adopt(config, "peer");
+        }
+        if let Some(listing) = targets {
+            let mut registry = self.shared.registry.borrow_mut();
+            let changed = registry.replace(listing.records, listing.revision, note.is_settled);
+            drop(registry);
+            if changed {
+                slog::info!(self.shared.log, "targets: Changed.";
+                    "source" => "peer", "peer" => %address,
+                    "revision" => %listing.revision, "settled" => note.is_settled);
+                self.shared.note_changes();
+            }
+        }
+        if note.in_contact {
+            self.shared.contact.borrow_mut().note_confirmation(now);
+        }
+    }
+
+    fn note_failure(&self, node: Option<NodeId>, address: SocketAddr, error: &PeerError) {
+        slog::debug!(self.shared.log, "peers: No answer to gossip.";
+            "peer" => %address, "error" => %error);
+        if let Some(node) = node {
+            let now = self.shared.now();
+            self.shared.fleet.borrow_mut().note_unreached(&node, now);
+        }
+    }
+
+    /// After a pause nothing that was read counts as current, and connections
+    /// may be dead without notice.
+    fn note_pause(&self) {
+        if let Some(pause) = self.shared.clock.take_pause() {
+            slog::warn!(self.shared.log, "clock: The VM was suspended."; "for" => %pause);
+            self.shared.contact.borrow_mut().note_pause();
+            self.shared.channels.clear();
+            self.shared.peers.clear();
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peers/mod.rs
@@ -0,0 +1,19 @@
+//! Talk between gateways: who is there, news that the store keeps from some,
+//! and pieces that one node collects for all.
+
+mod gossip_message;
+mod gossip_round;
+mod peer_client;
+mod peer_front;
+
+pub use self::{
+    gossip_message::{GossipNote, GossipReply, TargetListing},
+    gossip_round::GossipRound,
+    peer_client::{PeerClient, PeerError},
+    peer_front::PeerFront,
+};
+
+/// Path of gossip.
+pub const GOSSIP_PATH: &str = "/gossip";
+/// Path of sets of pieces.
+pub const STAGE_PATH: &str = "/stage";
--- /dev/null
+++ b/crates/gateway/src/peers/peer_front.rs
@@ -0,0 +1,131 @@
+use std::{net::TcpListener, time::Duration};
+
+use bytes::Bytes;
+use futures_lite::FutureExt;
+use serde::{Serialize, de::DeserializeOwned};
+use smol::{Async, Timer};
+
+use super::{GOSSIP_PATH, GossipNote, GossipReply, STAGE_PATH};
+use crate::{
+    http::{BodyFraming, BodyReader, HeaderList, HttpStream, RequestHead, ResponseHead},
+    process::Shared,
+    staging::StageAsk,
+};
+
+/// Largest head of a call of another gateway.
+const HEAD_BYTES: usize = 8 << 10;
+/// Largest call of another gateway: the names of all results that a set of
+/// pieces needs.
+const CALL_BYTES: usize = 4 << 20;
+/// Pause after a failed accept, so that a lack of descriptors doesn't spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Answers the calls of other gateways.
+#[derive(Clone, Debug)]
+pub struct PeerFront {
+    shared: Shared,
+}
+
+impl PeerFront {
+    /// Creates the server side of the talk between gateways.
+    #[must_use]
+    pub const fn new(shared: Shared) -> Self {
+        Self { shared }
+    }
+
+    /// Accepts connections until the future is dropped.
+    pub async fn run(self, listener: Async<TcpListener>) {
+        loop {
+            match listener.accept().await {
+                Ok((socket, _)) => {
+                    let front = self.clone();
+                    self.shared.tasks.spawn(async move {
+                        // A peer that breaks off calls again elsewhere.
+                        if let Ok(stream) = HttpStream::new(socket) {
+                            front.serve(stream).await;
+                        }
+                    });
+                }
+                Err(error) => {
+                    slog::warn!(self.shared.log, "peers: Accept failed."; "error" => %error);
+                    Timer::after(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn serve(&self, mut stream: HttpStream) {
+        while let Ok(Some(head)) = stream.read_request(HEAD_BYTES).await {
+            let Ok(framing) = BodyFraming::of_request(&head.headers) else {
+                return;
+            };
+            let Ok(body) = BodyReader::new(framing)
+                .collect(&mut stream, CALL_BYTES)
+                .await
+            else {
+                return;
+            };
+            let answer = async { Some(self.answer(&head, &body).await) };
+            let left = async {
+                stream.closed().await;
+                None
+            };
+            // A node that has left drops the work that it asked for.
+            let Some(answer) = answer.or(left).await else {
+                return;
+            };
+            let (status, body) = match answer {
+                Some(body) => (200, body),
+                None => (400, Vec::new()),
+            };
+            let mut headers = HeaderList::default();
+            headers.push("Content-Length", body.len().to_string());
+            let mut message = ResponseHead::encode(status, b"Answer", &headers);
+            message.extend_from_slice(&body);
+            if stream.write(&message).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    async fn answer(&self, head: &RequestHead, body: &Bytes) -> Option<Vec<u8>> {
+        match head.path() {
+            path if path == GOSSIP_PATH.as_bytes() => {
+                let note: GossipNote = self.decode(body)?;
+                let now = self.shared.now();
+                let reply = GossipReply::to(&self.shared, &note, now);
+                self.shared.fleet.borrow_mut().merge(note.members, now);
+                self.encode(&reply)
+            }
+            path if path == STAGE_PATH.as_bytes() => {
+                let ask: StageAsk = self.decode(body)?;
+                let _guard = self.shared.work.begin();
+                let answer = self.shared.desk.run(&self.shared, ask).await;
+                self.encode(&answer)
+            }
+            _ => None,
+        }
+    }
+
+    fn decode<Message>(&self, body: &[u8]) -> Option<Message>
+    where
+        Message: DeserializeOwned,
+    {
+        let decoded = rmp_serde::from_slice(body);
+        if let Err(error) = &decoded {
+            slog::warn!(self.shared.log, "peers: Call not understood."; "error" => %error);
+        }
+        decoded.ok()
+    }
+
+    fn encode<Message>(&self, message: &Message) -> Option<Vec<u8>>
+    where
+        Message: Serialize,
+    {
+        let encoded = rmp_serde::to_vec(message);
+        if let Err(error) = &encoded {
+            slog::error!(self.shared.log, "peers: Answer not encoded."; "error" => %error);
+        }
+        encoded.ok()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/process/daemon.rs
@@ -0,0 +1,131 @@
+//! The process from its start to its end.
+
+use std::{env, fs, net::SocketAddr, path::PathBuf, rc::Rc};
+
+use async_signal::{Signal, Signals};
+use futures_lite::StreamExt;
+use smol::LocalExecutor;
+use verbenahub_core::settings::GatewayProfile;
+use verbenahub_platform::{SETTINGS_VARIABLE, decode_node_file};
+
+use super::{
+    DaemonArgs, GatewayClock, GatewayMetrics, GatewaySettings, GatewayState, LocalTasks, LogBuffer,
+    RunError, Shared,
+    drain_driver::{DrainDriver, listen},
+    metrics_front::MetricsFront,
+    ready_front::ReadyFront,
+};
+use crate::{
+    front::CallerFront,
+    peers::{GossipRound, PeerFront},
+    store::{FeedReader, StoreFeed},
+};
+
+/// Runs the gateway until it is told to stop.
+///
+/// # Errors
+///
+/// Fails when settings or sockets can't be used.
+pub fn run(args: &DaemonArgs) -> Result<(), RunError> {
+    let settings = match &args.settings {
+        Some(path) => GatewaySettings::load(path)?,
+        None => GatewaySettings::default(),
+    };
+    if args.check && env::var_os(SETTINGS_VARIABLE).is_none() {
+        return Ok(());
+    }
+    let profile = read_profile()?;
+    if args.check {
+        return Ok(());
+    }
+    let executor = Rc::new(LocalExecutor::new());
+    smol::block_on(executor.run(serve(profile, settings, Rc::clone(&executor))))
+}
+
+fn read_profile() -> Result<GatewayProfile, RunError> {
+    let path = env::var_os(SETTINGS_VARIABLE).ok_or(RunError::NoNodeFile(SETTINGS_VARIABLE))?;
+    let path = PathBuf::from(path);
+    let text = fs::read_to_string(&path).map_err(|source| RunError::Read {
+        path: path.clone(),
+        source,
+    })?;
+    decode_node_file(&text).map_err(|source| RunError::NodeFile { path, source })
+}
+
+async fn serve(
+    profile: GatewayProfile,
+    settings: GatewaySettings,
+    executor: Rc<LocalExecutor<'static>>,
+) -> Result<(), RunError> {
+    let lines = LogBuffer::default();
+    let log = lines.logger(settings.level());
+    let tasks = LocalTasks::new(executor);
+    let (ending, ended) = async_channel::bounded(1);
+    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])
+        .map_err(RunError::setup("signal handlers"))?;
+    let front = open("caller listener", profile.front)?;
+    let ready = open("ready listener", profile.ready)?;
+    let peers = open("peer listener", profile.peers)?;
+    let metrics_address = SocketAddr::new(profile.front.ip(), settings.metrics_port);
+    let metrics = open("metrics listener", metrics_address)?;
+    slog::info!(log, "gateway: Started.";
+        "node" => %profile.node, "zone" => %profile.zone, "front" => %profile.front,
+        "peers" => %profile.peers, "store" => %profile.store, "seeds" => profile.seeds.len(),
+        "version" => env!("CARGO_PKG_VERSION"));
+    let shared: Shared = Rc::new(GatewayState::new(
+        profile,
+        GatewayClock::start(),
+        log,
+        GatewayMetrics::new()?,
+        tasks.sibling(),
+        ended,
+    ));
+    let writer = lines.clone();
+    tasks.spawn(async move { writer.run().await });
+    for feed in [StoreFeed::Config, StoreFeed::Targets] {
+        tasks.spawn(FeedReader::new(Shared::clone(&shared), feed).run());
+    }
+    tasks.spawn(GossipRound::new(Shared::clone(&shared)).run());
+    tasks.spawn(PeerFront::new(Shared::clone(&shared)).run(peers));
+    tasks.spawn(ReadyFront::new(Shared::clone(&shared)).run(ready));
+    tasks.spawn(MetricsFront::new(Shared::clone(&shared), lines.clone()).run(metrics));
+    let connections = tasks.sibling();
+    let callers = CallerFront::new(Shared::clone(&shared), connections.clone());
+    let accepting = tasks.spawn_owned(callers.run(front));
+    wait_for_stop(&shared, &mut signals).await;
+    DrainDriver::new(Shared::clone(&shared), accepting, ending)
+        .run()
+        .await;
+    slog::info!(shared.log, "gateway: Stopped.");
+    connections.cancel().await;
+    shared.tasks.cancel().await;
+    tasks.cancel().await;
+    // What the output doesn't take now is lost with the process.
+    let _ = lines.flush();
+    Ok(())
+}
+
+fn open(what: &str, address: SocketAddr) -> Result<smol::Async<std::net::TcpListener>, RunError> {
+    listen(address).map_err(RunError::setup(format!("{what} on {address}")))
+}
+
+/// Waits for a signal to stop. A changed settings file is checked and noted;
+/// what it may change takes a restart.
+async fn wait_for_stop(shared: &Shared, signals: &mut Signals) {
+    while let Some(signal) = signals.next().await {
+        match signal {
+            Ok(Signal::Hup) => match read_profile() {
+                Ok(profile) => slog::info!(shared.log, "gateway: Settings read again.";
+                    "changed" => profile != shared.profile),
+                Err(error) => slog::error!(shared.log, "gateway: Settings not usable.";
+                    "error" => %error),
+            },
+            Ok(signal) => {
+                slog::info!(shared.log, "gateway: Told to stop."; "signal" => ?signal);
+                return;
+            }
+            Err(error) => slog::error!(shared.log, "gateway: Signal not read.";
+                "error" => %error),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/process/drain_driver.rs
@@ -0,0 +1,99 @@
+use std::{net::TcpListener, time::Duration};
+
+use async_channel::Sender;
+use smol::{Async, Task, Timer};
+use verbenahub_core::{
+    clock::TimeSpan,
+    drain::{DrainAction, DrainEvent, DrainLimits, DrainMachine, DrainWork},
+};
+
+use super::Shared;
+
+/// Interval at which the work that is left is looked at.
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+/// Time for which new connections are taken after the node turned unready: the
+/// balancer asks once a second and notices after two misses.
+const UNREADY_SPAN: TimeSpan = TimeSpan::from_millis(3_200);
+/// Time for which idle connections stay open after that.
+const CLOSING_SPAN: TimeSpan = TimeSpan::from_millis(500);
+/// Part of the time to stop that is kept for the end of the process.
+const END_MARGIN: TimeSpan = TimeSpan::from_millis(400);
+
+/// Carries a graceful stop out.
+#[derive(Debug)]
+pub struct DrainDriver {
+    shared: Shared,
+    machine: DrainMachine,
+    accepting: Option<Task<()>>,
+    ending: Sender<()>,
+}
+
+impl DrainDriver {
+    /// Prepares the stop of a node. `accepting` accepts connections of
+    /// callers; closing `ending` ends their idle connections.
+    #[must_use]
+    pub fn new(shared: Shared, accepting: Task<()>, ending: Sender<()>) -> Self {
+        let limits = DrainLimits {
+            unready: UNREADY_SPAN,
+            closing: CLOSING_SPAN,
+            work: shared.profile.stop_span.saturating_sub(END_MARGIN),
+            handover: TimeSpan::ZERO,
+        };
+        Self {
+            machine: DrainMachine::new(limits),
+            shared,
+            accepting: Some(accepting),
+            ending,
+        }
+    }
+
+    /// Stops the node: returns when the process may end.
+    pub async fn run(mut self) {
+        let mut event = DrainEvent::Signal;
+        loop {
+            let action = self.machine.handle(event, self.shared.now());
+            event = DrainEvent::Tick(self.work());
+            let Some(action) = action else {
+                Timer::after(LOOK_INTERVAL).await;
+                continue;
+            };
+            slog::info!(self.shared.log, "drain: Next step.";
+                "phase" => %self.machine.phase(), "requests" => self.shared.work.count());
+            match action {
+                DrainAction::TurnUnready => {
+                    self.shared.stopping.set(true);
+                    self.shared.fleet.borrow_mut().set_active(false);
+                }
+                DrainAction::StopAccepting => {
+                    if let Some(accepting) = self.accepting.take() {
+                        accepting.cancel().await;
+                    }
+                }
+                DrainAction::CloseIdle => {
+                    self.ending.close();
+                }
+                // Nothing is kept here that another node could take over.
+                DrainAction::SealAndHandOver => event = DrainEvent::HandoverEnded,
+                DrainAction::Stop { cut } => {
+                    if !cut.is_empty() {
+                        slog::warn!(self.shared.log, "drain: Work was cut off.";
+                            "requests" => cut.requests);
+                    }
+                    return;
+                }
+            }
+        }
+    }
+
+    fn work(&self) -> DrainWork {
+        DrainWork {
+            requests: self.shared.work.count(),
+            ..DrainWork::default()
+        }
+    }
+}
+
+/// Opens a listening socket.
+pub(super) fn listen(address: std::net::SocketAddr) -> std::io::Result<Async<TcpListener>> {
+    Async::<TcpListener>::bind(address)
+}
--- /dev/null
+++ b/crates/gateway/src/process/mod.rs
@@ -0,0 +1,28 @@
+//! What lives as long as the process.
+
+mod daemon_args;
+mod drain_driver;
+mod gateway_clock;
+mod gateway_metrics;
+mod gateway_settings;
+mod gateway_state;
+mod local_tasks;
+mod log_buffer;
+mod metrics_front;
+mod ready_front;
+mod run_error;
+mod work_counter;
+
+pub mod daemon;
+
+pub use self::{
+    daemon_args::DaemonArgs,
+    gateway_clock::GatewayClock,
+    gateway_metrics::GatewayMetrics,
+    gateway_settings::{GatewaySettings, SettingsError},
+    gateway_state::{GatewayState, Shared},
+    local_tasks::LocalTasks,
+    log_buffer::LogBuffer,
+    run_error::RunError,
+    work_counter::{WorkCounter, WorkGuard},
+};
--- /dev/null
+++ b/crates/gateway/src/staging/stage_call_run.rs
@@ -0,0 +1,124 @@
+use std::{rc::Rc, sync::Arc};
+
+use bytes::Bytes;
+use verbenahub_core::{
+    policy::health::CallOutcome,
+    staging::{CallEnd, StageCall},
+    targets::TargetRecord,
+};
+use verbenahub_platform::{PieceAsk, decode_run, encode_run, headers, paths};
+
+use super::{StageAsk, stage_desk::DeskQueue};
+use crate::{
+    http::HeaderList,
+    process::Shared,
+    targets::{ExchangeAsk, SendError, TargetExchange},
+};
+
+/// One call to a stage's target, from its plan to its end.
+#[derive(Debug)]
+pub(super) struct StageCallRun {
+    queue: Rc<DeskQueue>,
+    call: StageCall,
+}
+
+impl StageCallRun {
+    pub(super) const fn new(queue: Rc<DeskQueue>, call: StageCall) -> Self {
+        Self { queue, call }
+    }
+
+    pub(super) async fn run(self, shared: &Shared) {
+        let begun = shared.now();
+        let service = self.queue.service().to_string();
+        let pieces = self.call.pieces.len();
+        #[allow(clippy::cast_precision_loss)] // A call has some hundred pieces.
+        let observed = pieces as f64;
+        let metrics = &shared.metrics;
+        metrics
+            .call_pieces
+            .with_label_values(&[&service])
+            .observe(observed);
+        let registered = shared.registry.borrow().get(&self.call.target).cloned();
+        let end = match registered {
+            Some(record) => self.send(shared, &record).await,
+            None => Ok(CallEnd::Refused),
+        };
+        let (end, label) = match end {
+            Ok(end @ CallEnd::Answered(_)) => (end, "answered"),
+            Ok(end) => (end, "refused"),
+            Err(error) if error.is_not_run() => (CallEnd::Failed, "not_sent"),
+            Err(error) => (CallEnd::Failed, error.label()),
+        };
+        metrics
+            .stage_calls
+            .with_label_values(&[&service, label])
+            .inc();
+        slog::info!(shared.log, "stage: Call ended.";
+            "service" => service, "call" => self.call.number.0, "target" => %self.call.target,
+            "pieces" => pieces, "end" => label, "took" => %shared.now().since(begun));
+        self.queue.finish(shared, self.call.number, end);
+    }
+
+    async fn send(
+        &self,
+        shared: &Shared,
+        record: &Arc<TargetRecord>,
+    ) -> Result<CallEnd, SendError> {
+        let asks: Vec<Option<Rc<StageAsk>>> = self
+            .call
+            .pieces
+            .iter()
+            .map(|piece| self.queue.ask_of(piece.set))
+            .collect();
+        let items: Vec<PieceAsk<'_>> = self
+            .call
+            .pieces
+            .iter()
+            .zip(&asks)
+            .filter_map(|(piece, ask)| {
+                let ask = ask.as_ref()?;
+                Some(PieceAsk {
+                    request: &ask.request,
+                    stage: ask.stage,
+                    piece: piece.piece,
+                    left: piece.left,
+                    input: &ask.input,
+                })
+            })
+            .collect();
+        // Requests that left between the plan and now take the call with
+        // them: the answer could not be told apart otherwise.
+        if items.len() < self.call.pieces.len() {
+            return Ok(CallEnd::Refused);
+        }
+        let body = encode_run(&items).map_err(|error| SendError::NotSent(error.to_string()))?;
+        let body = Bytes::from(body);
+        let mut fields = HeaderList::default();
+        fields.push("Host", record.address.to_string());
+        fields.push(headers::EXPECT_TARGET, record.id.to_string());
+        fields.push("Content-Type", "application/json");
+        let ask = ExchangeAsk {
+            method: b"POST",
+            target: paths::STAGE_RUN.as_bytes(),
+            headers: fields,
+            body: Some(&body),
+            request: None,
+            head_timeout: self.call.timeout,
+        };
+        let mut exchange = TargetExchange::begin(shared, record, ask).await?;
+        let answer = exchange.collect().await?;
+        if exchange.head.status != 200 {
+            if exchange.head.headers.get(headers::NOT_RUN).is_some() {
+                return Ok(CallEnd::Refused);
+            }
+            exchange.note_outcome(CallOutcome::Failed);
+            let status = exchange.head.status;
+            return Err(SendError::Malformed(format!("status {status}")));
+        }
+        let ends = decode_run(&answer).map_err(|error| SendError::Malformed(error.to_string()))?;
+        if ends.len() != items.len() {
+            return Err(SendError::Malformed("wrong number of pieces".to_owned()));
+        }
+        Ok(CallEnd::Answered(ends))
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/staging/stage_desk.rs
@@ -0,0 +1,254 @@
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+    time::Duration,
+};
+
+use async_channel::{Receiver, Sender};
+use futures_lite::FutureExt;
+use smol::Timer;
+use verbenahub_core::{
+    clock::TimeSpan,
+    ids::{PoolName, TargetId},
+    staging::{CallEnd, CallNumber, SetEnd, SetFailure, SetNumber, ShardMap, StageQueue, StageSet},
+};
+
+use super::{StageAnswer, StageAsk, stage_call_run::StageCallRun};
+use crate::process::Shared;
+
+/// Shortest wait between two looks at a queue, so that rounding of times
+/// doesn't spin.
+const LEAST_WAIT: Duration = Duration::from_millis(1);
+
+/// A request that waits for its pieces.
+#[derive(Debug)]
+struct SetWaiter {
+    ask: Rc<StageAsk>,
+    done: Sender<Result<Vec<String>, SetFailure>>,
+}
+
+/// The queue of one service, with the requests that wait in it.
+#[derive(Debug)]
+pub(super) struct DeskQueue {
+    service: PoolName,
+    queue: RefCell<StageQueue>,
+    waiters: RefCell<HashMap<SetNumber, SetWaiter>>,
+    wake: (Sender<()>, Receiver<()>),
+    is_driven: Cell<bool>,
+}
+
+/// The queues of all stages that this node collects pieces for.
+#[derive(Debug, Default)]
+pub struct StageDesk {
+    queues: RefCell<HashMap<PoolName, Rc<DeskQueue>>>,
+}
+
+/// Takes a set back when its request is dropped before its end.
+struct SetGuard {
+    shared: Shared,
+    queue: Rc<DeskQueue>,
+    set: SetNumber,
+}
+
+impl Drop for SetGuard {
+    fn drop(&mut self) {
+        if self.queue.waiters.borrow_mut().remove(&self.set).is_some() {
+            let unused = self.queue.queue.borrow_mut().cancel(self.set);
+            self.shared.results.free(&self.shared, unused);
+        }
+    }
+}
+
+impl StageDesk {
+    /// Produces the pieces of a set, together with those of others.
+    pub async fn run(&self, shared: &Shared, ask: StageAsk) -> StageAnswer {
+        let Some(queue) = self.queue(shared, &ask.service) else {
+            return StageAnswer::Failed {
+                reason: "no such stage".to_owned(),
+            };
+        };
+        let now = shared.now();
+        queue.update_targets(shared);
+        let set = StageSet {
+            pieces: ask.pieces,
+            goal_at: now + ask.goal_left,
+            dead_at: now + ask.dead_left,
+            refusable: ask.refusable,
+        };
+        let offered = queue.queue.borrow_mut().offer(set, now);
+        let backlog = queue.queue.borrow().backlog(now);
+        let waiting = queue.queue.borrow().waiting_pieces();
+        let number = match offered {
+            Ok(number) => number,
+            Err(refusal) => {
+                slog::info!(shared.log, "stage: Set refused.";
+                    "request" => &ask.request, "service" => %ask.service, "stage" => ask.stage,
+                    "pieces" => ask.pieces, "waiting_pieces" => waiting, "backlog" => %backlog,
+                    "dead_left" => %ask.dead_left, "retry_after" => %refusal.retry_after);
+                return StageAnswer::Refused {
+                    retry_after: refusal.retry_after,
+                    backlog,
+                };
+            }
+        };
+        slog::info!(shared.log, "stage: Set queued.";
+            "request" => &ask.request, "service" => %ask.service, "stage" => ask.stage,
+            "set" => number.0, "pieces" => ask.pieces, "waiting_pieces" => waiting,
+            "backlog" => %backlog, "goal_left" => %ask.goal_left);
+        let (done, result) = async_channel::bounded(1);
+        let ask = Rc::new(ask);
+        queue
+            .waiters
+            .borrow_mut()
+            .insert(number, SetWaiter { ask, done });
+        let _guard = SetGuard {
+            shared: Shared::clone(shared),
+            queue: Rc::clone(&queue),
+            set: number,
+        };
+        queue.wake();
+        match result.recv().await {
+            Ok(Ok(results)) => StageAnswer::Done {
+                results,
+                backlog: queue.queue.borrow().backlog(shared.now()),
+            },
+            Ok(Err(failure)) => StageAnswer::Failed {
+                reason: format!("{failure:?}"),
+            },
+            Err(_) => StageAnswer::Failed {
+                reason: "queue ended".to_owned(),
+            },
+        }
+    }
+
+    fn queue(&self, shared: &Shared, service: &PoolName) -> Option<Rc<DeskQueue>> {
+        let spec = shared.config()?.stage_service(service)?;
+        let mut queues = self.queues.borrow_mut();
+        let queue = queues.entry(service.clone()).or_insert_with(|| {
+            Rc::new(DeskQueue {
+                service: service.clone(),
+                queue: RefCell::new(StageQueue::new(spec)),
+                waiters: RefCell::default(),
+                wake: async_channel::bounded(1),
+                is_driven: Cell::new(false),
+            })
+        });
+        queue.queue.borrow_mut().set_service(spec);
+        if !queue.is_driven.replace(true) {
+            let (driven, shared_task) = (Rc::clone(queue), Shared::clone(shared));
+            shared
+                .tasks
+                .spawn(async move { driven.drive(shared_task).await });
+        }
+        Some(Rc::clone(queue))
+    }
+}
+
+impl DeskQueue {
+    /// Makes calls as the queue plans them, until the task is dropped.
+    async fn drive(self: Rc<Self>, shared: Shared) {
+        loop {
+            self.update_targets(&shared);
+            let now = shared.now();
+            let late = self.queue.borrow_mut().take_late(now);
+            self.deliver(&shared, late);
+            loop {
+                let planned = self.queue.borrow_mut().plan(now);
+                let Some(call) = planned else { break };
+                let run = StageCallRun::new(Rc::clone(&self), call);
+                let shared_task = Shared::clone(&shared);
+                shared
+                    .tasks
+                    .spawn(async move { run.run(&shared_task).await });
+            }
+            let next = self.queue.borrow().next_time(now);
+            let woken = async {
+                // The sender lives as long as the queue.
+                let _ = self.wake.1.recv().await;
+            };
+            match next {
+                None => woken.await,
+                Some(time) => {
+                    let wait = Duration::from(now.until(time)).max(LEAST_WAIT);
+                    let timer = async {
+                        Timer::after(wait).await;
+                    };
+                    woken.or(timer).await;
+                }
+            }
+        }
+    }
+
+    /// Takes in the end of a call.
+    pub(super) fn finish(&self, shared: &Shared, call: CallNumber, end: CallEnd) {
+        let now = shared.now();
+        let done = self.queue.borrow_mut().finish(call, end, now);
+        self.deliver(shared, done);
+        self.wake();
+    }
+
+    /// What a set was asked for, unless its request is gone.
+    pub(super) fn ask_of(&self, set: SetNumber) -> Option<Rc<StageAsk>> {
+        let waiters = self.waiters.borrow();
+        waiters.get(&set).map(|waiter| Rc::clone(&waiter.ask))
+    }
+
+    /// Name of the service.
+    pub(super) const fn service(&self) -> &PoolName {
+        &self.service
+    }
+
+    fn deliver(&self, shared: &Shared, ends: Vec<SetEnd>) {
+        for end in ends {
+            shared.results.free(shared, end.unused);
+            let waiter = self.waiters.borrow_mut().remove(&end.set);
+            match (waiter, end.outcome) {
+                (Some(waiter), outcome) => {
+                    if let Err(failure) = &outcome {
+                        slog::warn!(shared.log, "stage: Set failed.";
+                            "request" => &waiter.ask.request, "service" => %self.service,
+                            "stage" => waiter.ask.stage, "reason" => ?failure);
+                    }
+                    // The receiver is gone with its request; nothing to tell.
+                    let _ = waiter.done.try_send(outcome);
+                }
+                (None, Ok(results)) => shared.results.free(shared, results),
+                (None, Err(_)) => {}
+            }
+        }
+    }
+
+    fn wake(&self) {
+        // A full channel means that a wake-up is already on its way.
+        let _ = self.wake.0.try_send(());
+    }
+
+    /// Takes over the targets that this node collects for. A node that was
+    /// asked though it sees no share of its own uses all of them.
+    fn update_targets(&self, shared: &Shared) {
+        let targets = shared.ready_targets(&self.service);
+        let ids: Vec<TargetId> = targets.iter().map(|record| record.id.clone()).collect();
+        let fleet = shared.fleet.borrow();
+        let members = fleet.active(shared.now());
+        let shards = ShardMap::new(&self.service, ids.len(), &members);
+        let mut owned = shards.targets_of(&shared.profile.node, &ids);
+        if owned.is_empty() {
+            owned = ids;
+        }
+        let used = targets.iter().filter(|record| owned.contains(&record.id));
+        let used = used.map(|record| (record.id.clone(), record.zone.clone(), record.slots));
+        self.queue.borrow_mut().set_targets(used);
+    }
+}
+
+impl StageAnswer {
+    /// Time until all that waits at the collector will be done, if it said so.
+    #[must_use]
+    pub const fn backlog(&self) -> Option<TimeSpan> {
+        match self {
+            Self::Done { backlog, .. } | Self::Refused { backlog, .. } => Some(*backlog),
+            Self::Failed { .. } => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/staging/stage_flow.rs
@@ -0,0 +1,179 @@
+use std::sync::Arc;
+
+use smol::Task;
+use verbenahub_core::{
+    clock::{ClockTime, TimeSpan},
+    ids::ZoneName,
+    routes::{RouteConfig, RouteSpec},
+    staging::{GraphProgress, PathEstimate},
+};
+use verbenahub_platform::{PieceInput, result_maker};
+
+use super::{ResultGuard, StageAnswer, StageAsk};
+use crate::process::Shared;
+
+/// Why the stages of a request brought no results.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StageFailure {
+    /// There is no time for them; none was begun.
+    Refused {
+        /// When there will be.
+        retry_after: TimeSpan,
+    },
+    /// A stage failed.
+    Failed(String),
+}
+
+/// The results of a request's stages.
+#[derive(Debug)]
+pub struct StageOutput {
+    /// Names of the results that the request itself reads.
+    pub inputs: Vec<String>,
+    /// Zone in which most of what it reads lies.
+    pub zone: Option<ZoneName>,
+    /// Gives the results up when it is dropped.
+    pub guard: ResultGuard,
+}
+
+/// Runs the stages of one request.
+#[derive(Debug)]
+pub struct StageFlow<'a> {
+    /// State of the process.
+    pub shared: &'a Shared,
+    /// Configuration with which the request began.
+    pub config: &'a RouteConfig,
+    /// Its route.
+    pub route: &'a RouteSpec,
+    /// Its identifier.
+    pub request: &'a str,
+    /// Key of its pieces.
+    pub key: &'a str,
+    /// Pieces of each stage.
+    pub pieces: &'a [u32],
+    /// When its answer must begin to meet its goal.
+    pub goal_at: ClockTime,
+    /// When it must be over.
+    pub dead_at: ClockTime,
+}
+
+impl StageFlow<'_> {
+    /// Runs all stages, those at the same time that don't need each other.
+    /// Dropping the future ends the work.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no time for them, or a stage fails.
+    pub async fn run(&self) -> Result<StageOutput, StageFailure> {
+        let stages = Arc::from(self.route.stages.as_slice());
+        let progress = GraphProgress::new(stages, self.pieces)
+            .ok_or_else(|| StageFailure::Failed("pieces don't fit the stages".to_owned()))?;
+        let mut guard = ResultGuard::new(Shared::clone(self.shared), progress);
+        let estimate = self.estimate();
+        self.admit(&estimate)?;
+        let (done, ended) = async_channel::unbounded();
+        let mut tasks: Vec<Task<()>> = Vec::new();
+        let mut is_first = true;
+        loop {
+            for stage in guard.progress.take_ready() {
+                let ask = self.ask(&guard.progress, stage, &estimate, is_first);
+                let (shared, done) = (Shared::clone(self.shared), done.clone());
+                tasks.push(self.shared.tasks.spawn_owned(async move {
+                    let answer = shared.stages.run(&shared, ask).await;
+                    // The receiver is gone with its request.
+                    let _ = done.send((stage, answer)).await;
+                }));
+            }
+            if guard.progress.is_done() {
+                break;
+            }
+            is_first = false;
+            let Ok((stage, answer)) = ended.recv().await else {
+                return Err(StageFailure::Failed("stages ended early".to_owned()));
+            };
+            match answer {
+                StageAnswer::Done { results, .. } => {
+                    guard.progress.finish(stage, results);
+                    guard.free_spent();
+                }
+                StageAnswer::Refused { retry_after, .. } => {
+                    return Err(StageFailure::Refused { retry_after });
+                }
+                StageAnswer::Failed { reason } => return Err(StageFailure::Failed(reason)),
+            }
+        }
+        let inputs = guard.progress.final_results();
+        Ok(StageOutput {
+            zone: self.zone_of(&guard.progress),
+            inputs,
+            guard,
+        })
+    }
+
+    fn estimate(&self) -> PathEstimate {
+        let now = self.shared.now();
+        PathEstimate::new(&self.route.stages, self.pieces, |stage| {
+            let service = self.config.stage_service(&stage.service)?;
+            let backlog = self.shared.stages.backlog(&stage.service, now);
+            Some((service, backlog))
+        })
+    }
+
+    /// Refuses a request whose stages can't be done in its time.
+    fn admit(&self, estimate: &PathEstimate) -> Result<(), StageFailure> {
+        let now = self.shared.now();
+        let end = now + estimate.total();
+        if end <= self.dead_at {
+            return Ok(());
+        }
+        let retry_after = self.dead_at.until(end);
+        slog::info!(self.shared.log, "request: Refused, its stages take too long.";
+            "request" => self.request, "estimate" => %estimate.total(),
+            "left" => %now.until(self.dead_at), "retry_after" => %retry_after);
+        Err(StageFailure::Refused { retry_after })
+    }
+
+    fn ask(
+        &self,
+        progress: &GraphProgress,
+        stage: usize,
+        estimate: &PathEstimate,
+        is_first: bool,
+    ) -> StageAsk {
+        let now = self.shared.now();
+        let after = estimate.after(stage);
+        let spec = &self.route.stages[stage];
+        let input = if spec.after.is_empty() {
+            PieceInput::Key(self.key.to_owned())
+        } else {
+            PieceInput::Results(progress.inputs(stage))
+        };
+        StageAsk {
+            service: spec.service.clone(),
+            request: self.request.to_owned(),
+            stage,
+            pieces: progress.pieces(stage),
+            input,
+            goal_left: now.until(self.goal_at - after),
+            dead_left: now.until(self.dead_at - after),
+            refusable: is_first,
+        }
+    }
+
+    /// The zone of the makers of most bytes that the request reads.
+    fn zone_of(&self, progress: &GraphProgress) -> Option<ZoneName> {
+        let registry = self.shared.registry.borrow();
+        let mut sizes: Vec<(ZoneName, u64)> = Vec::new();
+        for (name, bytes) in progress.final_results_sized() {
+            let maker = result_maker(name)?;
+            let record = registry.records().find(|record| record.address == maker)?;
+            match sizes.iter_mut().find(|(zone, _)| *zone == record.zone) {
+                Some((_, size)) => *size += bytes,
+                None => sizes.push((record.zone.clone(), bytes)),
+            }
+        }
+        sizes
+            .into_iter()
+            .max_by_key(|(_, size)| *size)
+            .map(|(zone, _)| zone)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/staging/stage_message.rs
@@ -0,0 +1,48 @@
+use serde::{Deserialize, Serialize};
+use verbenahub_core::{clock::TimeSpan, ids::PoolName};
+use verbenahub_platform::PieceInput;
+
+/// Asks for all pieces that a request needs of one stage.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct StageAsk {
+    /// Service of the stage.
+    pub service: PoolName,
+    /// The request.
+    pub request: String,
+    /// Position of the stage in the request's route.
+    pub stage: usize,
+    /// Number of pieces.
+    pub pieces: u32,
+    /// What they are made from.
+    pub input: PieceInput,
+    /// Time until the results are needed for the request to meet its goal.
+    pub goal_left: TimeSpan,
+    /// Time until the results are of no use.
+    pub dead_left: TimeSpan,
+    /// Whether the pieces may be refused for lack of time.
+    pub refusable: bool,
+}
+
+/// What became of the pieces.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum StageAnswer {
+    /// The results are there.
+    Done {
+        /// Their names, by number of piece.
+        results: Vec<String>,
+        /// Time until all that waits at the collector will be done.
+        backlog: TimeSpan,
+    },
+    /// There is no time for the pieces. None of them was begun.
+    Refused {
+        /// When there will be.
+        retry_after: TimeSpan,
+        /// Time until all that waits at the collector will be done.
+        backlog: TimeSpan,
+    },
+    /// The pieces could not be produced.
+    Failed {
+        /// Why.
+        reason: String,
+    },
+}
--- /dev/null
+++ b/crates/gateway/src/store/feed_reader.rs
@@ -0,0 +1,243 @@
+use std::time::Duration;
+
+use smol::Timer;
+use verbenahub_core::{
+    clock::TimeSpan,
+    ids::RevisionNumber,
+    targets::{RegistryChange, TargetRecord},
+};
+use verbenahub_platform::{
+    StoreEvent, StoreItem, decode_config, decode_target, paths, removed_target,
+};
+
+use super::{StoreClient, StoreError};
+use crate::process::Shared;
+
+/// How long a watch waits for a change. Bounds the time for which a silent
+/// connection goes unnoticed, within the bound on applying configurations.
+const WATCH_WAIT: TimeSpan = TimeSpan::from_millis(1_500);
+/// First pause after a failed call. Doubles with each further one.
+const FIRST_PAUSE: TimeSpan = TimeSpan::from_millis(100);
+/// Longest pause after a failed call. Refused calls count like others.
+const LONGEST_PAUSE: TimeSpan = TimeSpan::from_millis(800);
+
+/// One part of the store that is read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreFeed {
+    /// The operator's configuration.
+    Config,
+    /// The registered targets.
+    Targets,
+}
+
+impl StoreFeed {
+    const fn prefix(self) -> &'static str {
+        match self {
+            Self::Config => paths::CONFIG_KEY,
+            Self::Targets => paths::TARGET_PREFIX,
+        }
+    }
+
+    const fn label(self) -> &'static str {
+        match self {
+            Self::Config => "config",
+            Self::Targets => "targets",
+        }
+    }
+}
+
+/// Keeps one part of the store up to date in the shared state.
+#[derive(Debug)]
+pub struct FeedReader {
+    shared: Shared,
+    feed: StoreFeed,
+    client: StoreClient,
+}
+
+impl FeedReader {
+    /// Creates the reader of a part.
+    #[must_use]
+    pub fn new(shared: Shared, feed: StoreFeed) -> Self {
+        let client = StoreClient::new(shared.profile.store);
+        Self {
+            shared,
+            feed,
+            client,
+        }
+    }
+
+    /// Reads until the future is dropped.
+    pub async fn run(mut self) {
+        let mut pause = FIRST_PAUSE;
+        loop {
+            let error = match self.follow(&mut pause).await {
+                Ok(never) => match never {},
+                Err(error) => error,
+            };
+            self.count("failed");
+            if matches!(error, StoreError::HistoryGone) {
+                slog::info!(self.shared.log, "store: History is gone, listing again.";
+                    "feed" => self.feed.label());
+            } else {
+                self.note_failure(&error);
+                let jitter = 0.5 + self.shared.random_share() * 0.5;
+                Timer::after(Duration::from(pause).mul_f64(jitter)).await;
+                pause = (pause * 2).min(LONGEST_PAUSE);
+            }
+        }
+    }
+
+    /// Lists, then watches until something fails.
+    async fn follow(
+        &mut self,
+        pause: &mut TimeSpan,
+    ) -> Result<std::convert::Infallible, StoreError> {
+        let mut revision = self.list().await?;
+        loop {
+            *pause = FIRST_PAUSE;
+            let prefix = self.feed.prefix();
+            let update = self.client.watch(prefix, revision, WATCH_WAIT).await?;
+            self.note_answer();
+            if !update.events.is_empty() {
+                self.take_events(update.events, update.revision);
+            }
+            revision = revision.max(update.revision);
+            self.expire();
+        }
+    }
+
+    async fn list(&mut self) -> Result<RevisionNumber, StoreError> {
+        let mut items: Vec<StoreItem> = Vec::new();
+        let mut revision = None;
+        loop {
+            let last = items.last().map(|item| item.key.clone());
+            let page = self
+                .client
+                .page(self.feed.prefix(), last.as_deref())
+                .await?;
+            self.note_answer();
+            // Pages are not of one revision: what changed after the first one
+            // comes again with the watch.
+            revision.get_or_insert(page.revision);
+            items.extend(page.items);
+            if !page.has_more {
+                break;
+            }
+        }
+        let revision = revision.unwrap_or_default();
+        match self.feed {
+            StoreFeed::Config => items.iter().for_each(|item| self.take_config(item)),
+            StoreFeed::Targets => {
+                let records = items.iter().filter_map(|item| self.decode(item)).collect();
+                let is_settled = self.is_settled();
+                let mut registry = self.shared.registry.borrow_mut();
+                let is_changed = registry.replace(records, revision, is_settled);
+                drop(registry);
+                self.note_targets(is_changed, "listing");
+            }
+        }
+        Ok(revision)
+    }
+
+    fn take_events(&self, events: Vec<StoreEvent>, revision: RevisionNumber) {
+        match self.feed {
+            StoreFeed::Config => {
+                for event in events {
+                    if let StoreEvent::Written(item) = event {
+                        self.take_config(&item);
+                    }
+                }
+            }
+            StoreFeed::Targets => {
+                let changes = events.iter().filter_map(|event| match event {
+                    StoreEvent::Written(item) => self.decode(item).map(RegistryChange::Put),
+                    StoreEvent::Removed { .. } => removed_target(event),
+                });
+                let changes: Vec<RegistryChange> = changes.collect();
+                let is_settled = self.is_settled();
+                let mut registry = self.shared.registry.borrow_mut();
+                let is_changed = registry.apply(changes, revision, is_settled);
+                drop(registry);
+                self.note_targets(is_changed, "watch");
+            }
+        }
+    }
+
+    fn take_config(&self, item: &StoreItem) {
+        if item.key != paths::CONFIG_KEY {
+            return;
+        }
+        match decode_config(item) {
+            Ok(config) => {
+                self.shared.adopt(config, "store");
+            }
+            Err(error) => slog::error!(self.shared.log,
+                "config: Not usable, the last version stays in force.";
+                "revision" => %item.revision, "error" => %error),
+        }
+    }
+
+    fn decode(&self, item: &StoreItem) -> Option<TargetRecord> {
+        match decode_target(item) {
+            Ok(record) => Some(record),
+            Err(error) => {
+                slog::warn!(self.shared.log, "targets: Record not usable.";
+                    "key" => &item.key, "error" => %error);
+                None
+            }
+        }
+    }
+
+    fn is_settled(&self) -> bool {
+        let now = self.shared.now();
+        self.shared.contact.borrow().is_settled(now)
+    }
+
+    fn note_targets(&self, is_changed: bool, source: &'static str) {
+        if !is_changed {
+            return;
+        }
+        {
+            let registry = self.shared.registry.borrow();
+            slog::info!(self.shared.log, "targets: Changed.";
+                "source" => source, "revision" => %registry.revision(),
+                "targets" => registry.len(), "settled" => self.is_settled());
+        }
+        self.shared.note_changes();
+    }
+
+    /// Drops targets that have not come back after an outage.
+    fn expire(&self) {
+        if self.feed != StoreFeed::Targets || !self.is_settled() {
+            return;
+        }
+        let gone = self.shared.registry.borrow_mut().expire();
+        for target in &gone {
+            slog::info!(self.shared.log, "targets: Did not come back."; "target" => %target);
+        }
+        self.note_targets(!gone.is_empty(), "expiry");
+    }
+
+    fn note_answer(&self) {
+        self.count("answered");
+        let now = self.shared.now();
+        let outage = self.shared.contact.borrow_mut().note_answer(now);
+        if let Some(outage) = outage {
+            slog::info!(self.shared.log, "store: Answers again."; "after" => %outage);
+        }
+    }
+
+    fn note_failure(&self, error: &StoreError) {
+        let now = self.shared.now();
+        let is_new = self.shared.contact.borrow_mut().note_failure(now);
+        if is_new {
+            slog::warn!(self.shared.log, "store: Contact lost.";
+                "feed" => self.feed.label(), "error" => %error);
+        }
+    }
+
+    fn count(&self, end: &str) {
+        let calls = &self.shared.metrics.store_calls;
+        calls.with_label_values(&[self.feed.label(), end]).inc();
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/store/store_error.rs
@@ -0,0 +1,22 @@
+use thiserror::Error;
+use verbenahub_platform::WireError;
+
+/// Why a call to the store brought nothing.
+#[derive(Debug, Error)]
+pub enum StoreError {
+    /// No connection, or it broke.
+    #[error("unreachable: {0}")]
+    Unreachable(String),
+    /// No answer came in time.
+    #[error("no answer in time")]
+    Silent,
+    /// The store answered with another status than 200.
+    #[error("status {0}")]
+    Status(u16),
+    /// The changes that were asked for are no longer kept.
+    #[error("history is gone")]
+    HistoryGone,
+    /// The answer can't be read.
+    #[error(transparent)]
+    Wire(#[from] WireError),
+}
--- /dev/null
+++ b/crates/gateway/src/targets/mod.rs
@@ -0,0 +1,13 @@
+//! Connections and calls to targets.
+
+mod channel_pool;
+mod send_error;
+mod target_exchange;
+mod wait_limit;
+
+pub use self::{
+    channel_pool::ChannelPool,
+    send_error::SendError,
+    target_exchange::{ExchangeAsk, TargetExchange},
+    wait_limit::within,
+};
