Cover keys that are published again after their deletion; assert the cap at the node

Cause: order_of_arrival_does_not_matter left out publishers that publish a deleted key again, since buried generations were forgotten: a node that had seen the deletion and one that had not could differ. The cap test no longer asserted that at most 3 requests are in flight. Ruled out: ignoring a key for good once deleted (a node that missed the deletion can't know); tombstones by age (nodes differ). Change: the latest entry of each key decides; buried entries are kept, deleted keys as their order only, in maps. The fake node counts requests in flight and looks itself for callers that have left; the call for metrics, which made a fourth, is no request. Before: order_of_arrival_does_not_matter and the new test fail; the cap test with a cap of one more fails.

--- a/crates/cli/tests/load_figures.rs
+++ b/crates/cli/tests/load_figures.rs
@@ -194,6 +194,7 @@
         ..plan(vec![node.address], mix(&[("chat", 1.0)]))
     };
     let summary = run_load(plan);
+    assert_eq!(node.most_in_flight(), 3);
     let counts = &summary.all.counts;
     assert!(counts.outcome_unknown >= 3);
     assert!(counts.dropped > 0);
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -15,6 +15,8 @@
 
 /// How often a waiting connection looks whether the node has ended.
 const POLL: Duration = Duration::from_millis(20);
+/// Paths of requests; the others read a node's figures.
+const PIPELINE_PREFIX: &str = "/v1/pipelines/";
 
 /// One call that came to a fake node.
 #[derive(Clone, Debug)]
@@ -43,9 +45,39 @@
 struct Shared {
     script: Script,
     calls: Mutex<Vec<FakeCall>>,
+    in_flight: Mutex<OpenCalls>,
     stop: AtomicBool,
 }
 
+/// Requests that have no answer yet and whose caller still waits.
+#[derive(Default)]
+struct OpenCalls {
+    streams: Vec<TcpStream>,
+    most: usize,
+}
+
+impl OpenCalls {
+    /// Counts a call. Calls whose caller has closed the connection count no
+    /// longer, also if the thread that serves them has not seen it yet.
+    fn begin(&mut self, stream: &TcpStream) {
+        self.streams.retain(|open| !has_left(open));
+        self.streams.push(stream.try_clone().expect("a handle"));
+        self.most = self.most.max(self.streams.len());
+    }
+
+    fn end(&mut self, stream: &TcpStream) {
+        let address = stream.peer_addr().ok();
+        self.streams.retain(|open| open.peer_addr().ok() != address);
+    }
+}
+
+fn has_left(stream: &TcpStream) -> bool {
+    stream.set_nonblocking(true).expect("an option");
+    let peeked = stream.peek(&mut [0]);
+    stream.set_nonblocking(false).expect("an option");
+    matches!(peeked, Ok(0))
+}
+
 /// A listener with a script. Ends when it is dropped.
 pub struct FakeNode {
     pub address: SocketAddr,
@@ -63,6 +95,7 @@
         let shared = Arc::new(Shared {
             script: Box::new(script),
             calls: Mutex::default(),
+            in_flight: Mutex::default(),
             stop: AtomicBool::new(false),
         });
         let accepted = Arc::clone(&shared);
@@ -74,6 +107,11 @@
         }
     }
 
+    /// The most requests that were in flight at the same time.
+    pub fn most_in_flight(&self) -> usize {
+        self.shared.in_flight.lock().expect("open calls").most
+    }
+
     pub fn calls(&self) -> Vec<FakeCall> {
         self.shared.calls.lock().expect("calls").clone()
     }
@@ -107,7 +145,14 @@
 fn serve(mut stream: TcpStream, shared: &Shared) {
     stream.set_read_timeout(Some(POLL)).expect("a timeout");
     while let Some(call) = read_call(&mut stream, shared) {
-        match (shared.script)(&call) {
+        if call.path.starts_with(PIPELINE_PREFIX) {
+            shared.in_flight.lock().expect("open calls").begin(&stream);
+        }
+        let reply = (shared.script)(&call);
+        if !matches!(reply, FakeReply::Silence) {
+            shared.in_flight.lock().expect("open calls").end(&stream);
+        }
+        match reply {
             FakeReply::Send(bytes) => {
                 let _ = stream.write_all(&bytes);
             }
--- a/crates/core/src/config/config_state.rs
+++ b/crates/core/src/config/config_state.rs
@@ -2,7 +2,7 @@
 
 use super::{
     ConfigSnapshot,
-    held_entry::{EntryContent, EntryOrder},
+    held_entry::EntryOrder,
     held_record::HeldRecord,
 };
 use crate::{
@@ -14,8 +14,8 @@
 /// All entries held of the configuration, and the records in force.
 ///
 /// The records in force are a pure function of the entries, whatever the order
-/// in which they came and whichever older ones were missed, as long as the
-/// publisher does not publish a deleted key again.
+/// in which they came and whichever older ones were missed: the latest entry
+/// of each key decides, also of a key that was deleted and published again.
 #[derive(Debug)]
 pub struct ConfigState {
     records: BTreeMap<RecordId, HeldRecord>,
@@ -28,7 +28,7 @@
 pub enum ApplyOutcome {
     /// The entry is held now.
     Taken,
-    /// A higher generation was deleted, or the same or a later entry of the key
+    /// A higher generation is deleted, or the same or a later entry of the key
     /// was held already.
     Ignored,
 }
@@ -60,19 +60,20 @@
 
     fn apply_record(&mut self, key: &RecordKey, entry: &FeedEntry) -> ApplyOutcome {
         let held = self.records.entry(key.id.clone()).or_default();
-        let Some(content) = held.apply(key, entry) else {
+        if !held.apply(key, entry) {
             return ApplyOutcome::Ignored;
-        };
-        let findings = match content {
-            EntryContent::Invalid(findings) => Some(findings.clone()),
-            EntryContent::Valid(_) | EntryContent::Deleted => None,
-        };
+        }
         let snapshot = Arc::make_mut(&mut self.current);
-        snapshot.set_findings(&entry.key, findings);
-        for buried in held.remove_buried(&key.id) {
-            snapshot.set_findings(&buried.to_string(), None);
+        if entry.value.is_none() {
+            snapshot.set_findings(&entry.key, None);
+        }
+        for (key, findings) in held.findings(&key.id) {
+            snapshot.set_findings(&key.to_string(), findings);
         }
         snapshot.set_record(&key.id, held.in_force().as_ref());
+        if held.is_buried(key.generation) {
+            return ApplyOutcome::Ignored;
+        }
         ApplyOutcome::Taken
     }
 
--- a/crates/core/src/config/held_entry.rs
+++ b/crates/core/src/config/held_entry.rs
@@ -3,7 +3,7 @@
 use super::SharedRecord;
 use crate::{
     findings::{Finding, FindingList, FindingPlace},
-    ids::{GenerationNumber, RevisionNumber},
+    ids::RevisionNumber,
     protocol::FeedEntry,
     records::{Record, RecordKey, ValueDigest},
 };
@@ -24,15 +24,16 @@
             hash: entry.value.as_deref().map(xxh3_64),
         }
     }
+
+    /// Revision of the entry.
+    pub(super) const fn revision(self) -> RevisionNumber {
+        self.revision
+    }
 }
 
 /// What is held of one key: the outcome of its latest revision.
 #[derive(Debug)]
 pub(super) struct HeldEntry {
-    /// Generation of the key.
-    pub(super) generation: GenerationNumber,
-    /// Digest of the key.
-    pub(super) digest: ValueDigest,
     /// Tells which of two entries of the key is later.
     order: EntryOrder,
     /// What the entry says.
@@ -61,26 +62,14 @@
             },
         };
         Self {
-            generation: key.generation,
-            digest: key.digest,
             order: EntryOrder::of(entry),
             content,
         }
     }
 
-    /// Whether this is the entry of `key`, which belongs to the same record.
-    pub(super) fn has_key(&self, key: &RecordKey) -> bool {
-        self.generation == key.generation && self.digest == key.digest
-    }
-
-    /// Whether `entry` is later than what is held.
-    pub(super) fn is_before(&self, entry: &FeedEntry) -> bool {
-        self.order < EntryOrder::of(entry)
-    }
-
-    /// Revision of the entry.
-    pub(super) fn revision(&self) -> RevisionNumber {
-        self.order.revision
+    /// Tells which of two entries of the key is later.
+    pub(super) const fn order(&self) -> EntryOrder {
+        self.order
     }
 }
 
--- a/crates/core/src/config/held_record.rs
+++ b/crates/core/src/config/held_record.rs
@@ -1,13 +1,19 @@
+use std::collections::BTreeMap;
+
 use super::{
     SharedRecord,
-    held_entry::{EntryContent, HeldEntry},
+    held_entry::{EntryContent, EntryOrder, HeldEntry},
 };
 use crate::{
+    findings::FindingList,
     ids::{GenerationNumber, RevisionNumber},
     protocol::FeedEntry,
-    records::{RecordId, RecordKey},
+    records::{RecordId, RecordKey, ValueDigest},
 };
 
+/// A key among the keys of one record.
+type OwnKey = (GenerationNumber, ValueDigest);
+
 /// The entry that counts of all entries of one record.
 pub(super) struct RecordInForce<'a> {
     /// The record.
@@ -18,65 +24,84 @@
 
 /// All entries held of one record.
 ///
-/// A deleted generation buries all lower ones for good: they are not kept, so
-/// that a record that is revised often stays small.
+/// A deleted generation buries all lower ones for as long as its key stays
+/// deleted. What is buried is kept, so that a key which is published again
+/// leaves every node with the same entries, whether or not it has seen the
+/// deletion. Of a deleted key only its order is kept.
 #[derive(Debug, Default)]
 pub(super) struct HeldRecord {
-    entries: Vec<HeldEntry>,
-    floor: GenerationNumber,
+    live: BTreeMap<OwnKey, HeldEntry>,
+    deleted: BTreeMap<OwnKey, EntryOrder>,
 }
 
 impl HeldRecord {
-    /// Takes an entry and gives what it says, unless it is buried, or the same
-    /// or a later entry of its key is held already.
-    pub(super) fn apply(&mut self, key: &RecordKey, entry: &FeedEntry) -> Option<&EntryContent> {
-        if key.generation < self.floor {
-            return None;
-        }
-        let known = self.entries.iter().position(|held| held.has_key(key));
-        if known.is_some_and(|index| !self.entries[index].is_before(entry)) {
-            return None;
+    /// Takes an entry, unless the same or a later entry of its key is held
+    /// already. Returns whether it was taken.
+    pub(super) fn apply(&mut self, key: &RecordKey, entry: &FeedEntry) -> bool {
+        let own_key = (key.generation, key.digest);
+        let order = EntryOrder::of(entry);
+        let held = self.live.get(&own_key).map(HeldEntry::order);
+        let held = held.or_else(|| self.deleted.get(&own_key).copied());
+        if held.is_some_and(|held| held >= order) {
+            return false;
         }
         let held = HeldEntry::read(key, entry);
         if matches!(held.content, EntryContent::Deleted) {
-            self.floor = self.floor.max(key.generation);
-        }
-        let index = known.unwrap_or(self.entries.len());
-        if known.is_some() {
-            self.entries[index] = held;
+            self.live.remove(&own_key);
+            self.deleted.insert(own_key, order);
         } else {
-            // Most records have one entry.
-            self.entries.reserve_exact(1);
-            self.entries.push(held);
+            self.deleted.remove(&own_key);
+            self.live.insert(own_key, held);
         }
-        Some(&self.entries[index].content)
+        true
     }
 
-    /// Removes the entries that a deleted generation has buried and gives the
-    /// keys under which the record `id` had them.
-    pub(super) fn remove_buried(&mut self, id: &RecordId) -> Vec<RecordKey> {
-        let floor = self.floor;
-        self.entries
-            .extract_if(.., |held| held.generation < floor)
-            .map(|held| RecordKey {
-                id: id.clone(),
-                generation: held.generation,
-                digest: held.digest,
+    /// Whether a generation is buried by a higher one that was deleted.
+    pub(super) fn is_buried(&self, generation: GenerationNumber) -> bool {
+        generation < self.floor()
+    }
+
+    /// Findings on all keys of the record `id` that are not deleted. What is
+    /// buried has none.
+    pub(super) fn findings(&self, id: &RecordId) -> Vec<(RecordKey, Option<FindingList>)> {
+        let floor = self.floor();
+        let entries = self.live.iter();
+        entries
+            .map(|((generation, digest), held)| {
+                let key = RecordKey {
+                    id: id.clone(),
+                    generation: *generation,
+                    digest: *digest,
+                };
+                let findings = match &held.content {
+                    EntryContent::Invalid(findings) if *generation >= floor => {
+                        Some(findings.clone())
+                    }
+                    _ => None,
+                };
+                (key, findings)
             })
             .collect()
     }
 
     /// The valid entry with the highest generation and then revision.
     pub(super) fn in_force(&self) -> Option<RecordInForce<'_>> {
-        let valid = self.entries.iter().filter_map(|held| {
+        let floor = self.floor();
+        let valid = self.live.iter().filter_map(|((generation, digest), held)| {
             let EntryContent::Valid(record) = &held.content else {
                 return None;
             };
-            let revision = held.revision();
-            let order = (held.generation, revision, held.digest);
-            Some((order, RecordInForce { record, revision }))
+            let revision = held.order().revision();
+            let order = (*generation, revision, *digest);
+            (*generation >= floor).then_some((order, RecordInForce { record, revision }))
         });
         let newest = valid.max_by_key(|(order, _)| *order);
         newest.map(|(_, found)| found)
     }
+
+    /// The highest deleted generation.
+    fn floor(&self) -> GenerationNumber {
+        let highest = self.deleted.last_key_value();
+        highest.map_or(GenerationNumber::ZERO, |((generation, _), _)| *generation)
+    }
 }
--- a/crates/core/tests/config_order.rs
+++ b/crates/core/tests/config_order.rs
@@ -1,6 +1,6 @@
 //! What is in force is a pure function of the entries held.
 
-use std::{collections::BTreeSet, fmt::Write};
+use std::fmt::Write;
 
 use assert_matches::assert_matches;
 use proptest::{
@@ -99,22 +99,11 @@
     }
 }
 
-/// What a publisher does: the changes in their order, but it never publishes
-/// a deleted key again.
+/// What a publisher does: the changes in their order. A deleted key may be
+/// published again.
 fn publish(changes: &[PublishedChange]) -> Vec<FeedEntry> {
-    let mut deleted = BTreeSet::new();
-    let mut entries = Vec::new();
-    for (revision, change) in (1..).zip(changes) {
-        let entry = change.entry(revision);
-        if deleted.contains(&entry.key) {
-            continue;
-        }
-        if entry.value.is_none() {
-            deleted.insert(entry.key.clone());
-        }
-        entries.push(entry);
-    }
-    entries
+    let numbered = (1..).zip(changes);
+    numbered.map(|(revision, change)| change.entry(revision)).collect()
 }
 
 fn describe(snapshot: &ConfigSnapshot) -> String {
@@ -268,6 +257,31 @@
     assert!(state.snapshot().findings().is_empty());
 }
 
+#[test]
+fn deleted_key_that_is_published_again_counts() {
+    let (first, second) = (valid(4, 10), valid(5, 11));
+    let deleted = FeedEntry {
+        value: None,
+        ..valid(5, 12)
+    };
+    let again = valid(5, 13);
+    let saw_all = apply_all([&first, &second, &deleted, &again]);
+    let missed_deletion = apply_all([&first, &again]);
+    for state in [&saw_all, &missed_deletion] {
+        assert_eq!(generation_in_force(state), Some(5));
+    }
+    // The value no longer fits its key: the generation before it counts, on
+    // both nodes.
+    let spoilt = FeedEntry {
+        value: Some(b"#".to_vec()),
+        ..valid(5, 14)
+    };
+    for mut state in [saw_all, missed_deletion] {
+        assert_eq!(state.apply(&spoilt), ApplyOutcome::Taken);
+        assert_eq!(generation_in_force(&state), Some(4));
+    }
+}
+
 #[test]
 fn retired_generation_takes_the_record_out() {
     let mut state = apply_all(&[valid(4, 10)]);
