Refuse requests whose end is in doubt at the product's front

Cause: the HTTP library takes the last of several lengths and reads an unknown transfer coding as no body, so a request could hide another one. Ruled out: a parser before the library (reads each head twice). Change: the framing rule of the relay moves to core; the product's server asks it before the handler and answers 400 with a closed connection. Before: nine of nine doubtful heads were handled. After: all refused, one answer each (test seen failing first).

--- a/crates/core/src/config/config_state.rs
+++ b/crates/core/src/config/config_state.rs
@@ -1,10 +1,6 @@
 use std::{collections::BTreeMap, sync::Arc};
 
-use super::{
-    ConfigSnapshot,
-    held_entry::EntryOrder,
-    held_record::HeldRecord,
-};
+use super::{ConfigSnapshot, held_entry::EntryOrder, held_record::HeldRecord};
 use crate::{
     findings::{Finding, FindingPlace},
     protocol::FeedEntry,
--- a/crates/core/src/protocol/mod.rs
+++ b/crates/core/src/protocol/mod.rs
@@ -6,6 +6,7 @@
 
 mod answer_event;
 mod answer_outcome;
+mod body_framing;
 mod cache_event;
 mod cancel_call;
 mod error_body;
@@ -20,6 +21,7 @@
 pub use self::{
     answer_event::AnswerEvent,
     answer_outcome::AnswerOutcome,
+    body_framing::{BodyFraming, FramingError},
     cache_event::{CacheChange, CacheEvent, CachePage},
     cancel_call::CancelCall,
     error_body::{ErrorBody, ErrorCode},
--- a/crates/core/tests/config_order.rs
+++ b/crates/core/tests/config_order.rs
@@ -103,7 +103,9 @@
 /// published again.
 fn publish(changes: &[PublishedChange]) -> Vec<FeedEntry> {
     let numbered = (1..).zip(changes);
-    numbered.map(|(revision, change)| change.entry(revision)).collect()
+    numbered
+        .map(|(revision, change)| change.entry(revision))
+        .collect()
 }
 
 fn describe(snapshot: &ConfigSnapshot) -> String {
--- a/crates/gateway/src/front/caller_connection.rs
+++ b/crates/gateway/src/front/caller_connection.rs
@@ -12,7 +12,9 @@
     stream_flow::{StreamStart, start_stream},
 };
 use crate::{
-    http::{BodyError, BodyFraming, BodyReader, HeadError, HttpStream, RequestHead},
+    http::{
+        BodyError, BodyFraming, BodyReader, HeadError, HttpStream, RequestHead, request_framing,
+    },
     process::Shared,
     targets::within,
 };
@@ -105,7 +107,7 @@
             }
             None => return Err(OwnAnswer::slow_request()),
         };
-        let framing = BodyFraming::of_request(&head.headers);
+        let framing = request_framing(&head.headers);
         let framing = framing.map_err(|_| OwnAnswer::malformed())?;
         let limit = limits.body_size.as_usize();
         if matches!(framing, BodyFraming::Length(length) if length > limits.body_size.as_bytes()) {
--- a/crates/gateway/src/http/head_error.rs
+++ b/crates/gateway/src/http/head_error.rs
@@ -1,6 +1,7 @@
 use std::io;
 
 use thiserror::Error;
+use verbenahub_core::protocol::FramingError;
 
 /// Why the head of a message can't be used.
 #[derive(Debug, Error)]
@@ -20,5 +21,5 @@
     /// The head says in more than one way, or in none that counts, where its
     /// body ends.
     #[error("ambiguous body: {0}")]
-    Framing(&'static str),
+    Framing(#[from] FramingError),
 }
--- a/crates/gateway/src/http/mod.rs
+++ b/crates/gateway/src/http/mod.rs
@@ -9,8 +9,10 @@
 mod request_head;
 mod response_head;
 
+pub use verbenahub_core::protocol::BodyFraming;
+
 pub use self::{
-    body_framing::BodyFraming,
+    body_framing::{request_framing, response_framing},
     body_reader::{BodyError, BodyReader},
     head_error::HeadError,
     header_list::{HeaderField, HeaderList},
--- a/crates/gateway/src/peers/peer_client.rs
+++ b/crates/gateway/src/peers/peer_client.rs
@@ -6,7 +6,7 @@
 use verbenahub_core::clock::TimeSpan;
 
 use crate::{
-    http::{BodyFraming, BodyReader, HeaderList, HttpStream, RequestHead},
+    http::{BodyReader, HeaderList, HttpStream, RequestHead, response_framing},
     targets::within,
 };
 
@@ -118,7 +118,7 @@
         .read_response()
         .await
         .map_err(|error| broken(&error))?;
-    let framing = BodyFraming::of_response(head.status, &head.headers);
+    let framing = response_framing(head.status, &head.headers);
     let framing = framing.map_err(|error| broken(&error))?;
     let answer = BodyReader::new(framing).collect(stream, ANSWER_BYTES).await;
     Ok((head.status, answer.map_err(|error| broken(&error))?))
--- a/crates/gateway/src/peers/peer_front.rs
+++ b/crates/gateway/src/peers/peer_front.rs
@@ -7,7 +7,7 @@
 
 use super::{GOSSIP_PATH, GossipNote, GossipReply, STAGE_PATH};
 use crate::{
-    http::{BodyFraming, BodyReader, HeaderList, HttpStream, RequestHead, ResponseHead},
+    http::{BodyReader, HeaderList, HttpStream, RequestHead, ResponseHead, request_framing},
     process::Shared,
     staging::StageAsk,
 };
@@ -56,7 +56,7 @@
 
     async fn serve(&self, mut stream: HttpStream) {
         while let Ok(Some(head)) = stream.read_request(HEAD_BYTES).await {
-            let Ok(framing) = BodyFraming::of_request(&head.headers) else {
+            let Ok(framing) = request_framing(&head.headers) else {
                 return;
             };
             let Ok(body) = BodyReader::new(framing)
--- a/crates/gateway/src/store/store_client.rs
+++ b/crates/gateway/src/store/store_client.rs
@@ -6,7 +6,7 @@
 
 use super::StoreError;
 use crate::{
-    http::{BodyFraming, BodyReader, HeaderList, HttpStream, RequestHead},
+    http::{BodyFraming, BodyReader, HeaderList, HttpStream, RequestHead, response_framing},
     targets::within,
 };
 
@@ -107,7 +107,7 @@
         .read_response()
         .await
         .map_err(|error| broken(&error))?;
-    let framing = BodyFraming::of_response(head.status, &head.headers);
+    let framing = response_framing(head.status, &head.headers);
     let framing = framing.map_err(|error| broken(&error))?;
     let body = BodyReader::new(framing).collect(stream, ANSWER_BYTES).await;
     let body = body.map_err(|error| broken(&error))?;
--- a/crates/gateway/src/targets/target_exchange.rs
+++ b/crates/gateway/src/targets/target_exchange.rs
@@ -12,7 +12,7 @@
 use crate::{
     http::{
         BodyError, BodyFraming, BodyReader, HeadError, HeaderList, HttpStream, RequestHead,
-        ResponseHead,
+        ResponseHead, response_framing,
     },
     process::Shared,
 };
@@ -244,8 +244,8 @@
             .read_response()
             .await
             .map_err(|error| head_failure(&error))?;
-        let framing = BodyFraming::of_response(head.status, &head.headers)
-            .map_err(|error| head_failure(&error))?;
+        let framing = response_framing(head.status, &head.headers)
+            .map_err(|error| SendError::Malformed(error.to_string()))?;
         let echoed = head.headers.text(headers::REQUEST_ID);
         let is_other = matches!((request, echoed), (Some(own), Some(echoed)) if own != echoed);
         if !is_other {
--- a/crates/node/src/connection/http_server.rs
+++ b/crates/node/src/connection/http_server.rs
@@ -15,6 +15,8 @@
     net::{Shutdown, TcpListener, TcpStream},
 };
 
+use verbenahub_core::protocol::{BodyFraming, FramingError};
+
 use super::{BodyWatch, MeteredStream, ServerLimits, ServerPhase};
 use crate::process::TaskGroup;
 
@@ -168,9 +170,15 @@
         let head_read = AtomicBool::new(false);
         let endpoint = |mut request: Request| {
             head_read.store(true, Ordering::Relaxed);
+            let doubt = framing_doubt(&request);
             let watch = BodyWatch::attach(&mut request);
-            let answer = handler(request, stream.clone());
+            let answer = doubt.is_none().then(|| handler(request, stream.clone()));
             async move {
+                let Some(answer) = answer else {
+                    report(ServerEvent::Malformed);
+                    stream.stop_reading();
+                    return Ok(refuse_malformed());
+                };
                 let mut response = answer.await;
                 if !watch.has_ended() {
                     stream.stop_reading();
@@ -226,6 +234,33 @@
     }
 }
 
+/// Why a request leaves in doubt where it ends. The library takes the last of
+/// several lengths, and any transfer coding that it doesn't know for none.
+fn framing_doubt(request: &Request) -> Option<FramingError> {
+    let values = |name: &str| {
+        let values = request.header(name).into_iter().flatten();
+        values
+            .map(|value| value.as_str().as_bytes().to_vec())
+            .collect()
+    };
+    let lengths: Vec<Vec<u8>> = values("content-length");
+    let codings: Vec<Vec<u8>> = values("transfer-encoding");
+    let declared = BodyFraming::declared(
+        lengths.iter().map(Vec::as_slice),
+        codings.iter().map(Vec::as_slice),
+    );
+    declared.err()
+}
+
+/// The answer to a request whose end is in doubt. The connection ends with it.
+fn refuse_malformed() -> Response {
+    let mut response = Response::new(StatusCode::BadRequest);
+    response.insert_header("connection", "close");
+    response.set_body(BAD_REQUEST);
+    response.set_content_type(http_types::mime::JSON);
+    response
+}
+
 /// Resolves when a write has waited for longer than `timeout`.
 async fn watch_writes(stream: &MeteredStream, timeout: Duration) {
     let mut written = stream.written_bytes();
--- a/crates/node/tests/http_server.rs
+++ b/crates/node/tests/http_server.rs
@@ -158,6 +158,39 @@
     }
 }
 
+#[test]
+fn request_whose_end_is_in_doubt_is_refused_and_ends_the_connection() {
+    let server = TestServer::start(8);
+    for doubt in [
+        "content-length: 1\r\ncontent-length: 3\r\n",
+        "content-length: 3\r\ncontent-length: 3\r\n",
+        "content-length: +3\r\n",
+        "content-length: 3, 3\r\n",
+        "content-length: 0x3\r\n",
+        "content-length: 3\r\ntransfer-encoding: chunked\r\n",
+        "transfer-encoding: gzip\r\n",
+        "transfer-encoding: gzip, chunked\r\n",
+        "transfer-encoding: chunked\r\ntransfer-encoding: identity\r\n",
+    ] {
+        let mut stream = server.connect();
+        // What one reader takes for a body is another request to another one.
+        let text = format!(
+            "POST /read HTTP/1.1\r\nhost: test\r\n{doubt}\r\n\
+             GET /read HTTP/1.1\r\nhost: test\r\n\r\n"
+        );
+        stream.write_all(text.as_bytes()).expect("write");
+        stream.shutdown(Shutdown::Write).expect("shutdown");
+        let mut answers = String::new();
+        stream
+            .read_to_string(&mut answers)
+            .expect("an end without reset");
+        assert!(answers.starts_with("HTTP/1.1 400"), "{doubt}: {answers}");
+        assert!(answers.contains("connection: close"), "{doubt}: {answers}");
+        let heads = answers.lines().filter(|line| line.starts_with("HTTP/1.1"));
+        assert_eq!(heads.count(), 1, "{doubt}: {answers}");
+    }
+}
+
 #[test]
 fn one_connection_too_many_is_told_so() {
     let server = TestServer::start(1);
