Plan stage calls with the room for results, and make results where they are read

Ruled out: freeing inputs at the start of the next call (a failed call could not be repeated). Change: the collector keeps the books of room, results are freed through it; sets stay whole; a set waits half a call for a target in the zone of its inputs, or of the engine that holds the prompt; that engine goes before the zone of the results; stages end when the caller's patience does.

--- a/crates/core/src/routes/route_spec.rs
+++ b/crates/core/src/routes/route_spec.rs
@@ -3,6 +3,13 @@
 use super::{GraphStage, RouteKind, SplitShare};
 use crate::{clock::TimeSpan, ids::PoolName, policy::numbers};
 
+/// Shortest time after which callers give up a stream that is silent.
+const LEAST_SILENCE: TimeSpan = TimeSpan::from_secs(2);
+/// Multiple of the goal after which they do.
+const SILENCE_GOALS: u64 = 4;
+/// Multiple of the longest pause after which they do.
+const SILENCE_GAPS: u64 = 8;
+
 /// One route.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RouteSpec {
@@ -30,6 +37,8 @@
     pub public: bool,
     /// Whether a broken stream may go on at another target.
     pub resumable: bool,
+    /// Longest pause between the events of a stream that is on time.
+    pub gap_limit: TimeSpan,
 }
 
 impl RouteSpec {
@@ -43,6 +52,15 @@
         }
     }
 
+    /// How long callers wait for a stream's first event, as the platform's
+    /// protocol has it: the longest of three spans.
+    #[must_use]
+    pub fn first_event_limit(&self) -> TimeSpan {
+        let by_goal = self.goal * SILENCE_GOALS;
+        let by_gap = self.gap_limit * SILENCE_GAPS;
+        by_goal.max(by_gap).max(LEAST_SILENCE)
+    }
+
     /// The service of a request whose place in the split is `draw`, from 0 up
     /// to but without 1.
     #[must_use]
--- a/crates/core/src/routes/stage_service.rs
+++ b/crates/core/src/routes/stage_service.rs
@@ -1,6 +1,6 @@
 use serde::{Deserialize, Serialize};
 
-use crate::clock::TimeSpan;
+use crate::{clock::TimeSpan, units::ByteSize};
 
 /// How one target of a stage's service works. All figures are published with
 /// the service.
@@ -14,6 +14,8 @@
     pub call_ms: f64,
     /// Time that each piece adds to its call, in milliseconds.
     pub piece_ms: f64,
+    /// Room for results at one target.
+    pub room: ByteSize,
     /// How long a result is kept at its maker.
     pub result_lifetime: TimeSpan,
 }
--- a/crates/core/src/staging/graph_progress.rs
+++ b/crates/core/src/staging/graph_progress.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use crate::routes::GraphStage;
+use crate::{ids::PoolName, routes::GraphStage};
 
 /// How far the stages of one request have come.
 #[derive(Clone, Debug)]
@@ -53,15 +53,18 @@
         self.pieces[stage]
     }
 
-    /// Names of all results that a stage needs, or nothing if no stage with
-    /// pieces comes before it.
+    /// Names of all results that a stage needs.
     #[must_use]
     pub fn inputs(&self, stage: usize) -> Vec<String> {
-        let mut inputs = Vec::new();
-        for before in &self.stages[stage].after {
-            self.collect(*before, &mut inputs);
-        }
-        inputs
+        let inputs = self.inputs_sized(stage);
+        inputs.map(|(name, _)| name.to_owned()).collect()
+    }
+
+    /// Names of all results that a stage needs with their approximate sizes in
+    /// bytes.
+    pub fn inputs_sized(&self, stage: usize) -> impl Iterator<Item = (&str, u64)> {
+        let before = self.stages[stage].after.iter();
+        before.flat_map(|before| self.results_sized(*before))
     }
 
     /// Takes in the results of a stage.
@@ -86,16 +89,18 @@
     pub fn final_results_sized(&self) -> impl Iterator<Item = (&str, u64)> {
         let is_final =
             move |stage: &usize| !self.stages.iter().any(|other| other.after.contains(stage));
-        (0..self.stages.len())
-            .filter(is_final)
-            .flat_map(move |stage| {
-                let names = self.results[stage].iter().flatten();
-                names.map(move |name| (name.as_str(), self.stages[stage].result_bytes))
-            })
+        let finals = (0..self.stages.len()).filter(is_final);
+        finals.flat_map(|stage| self.results_sized(stage))
+    }
+
+    fn results_sized(&self, stage: usize) -> impl Iterator<Item = (&str, u64)> {
+        let names = self.results[stage].iter().flatten();
+        names.map(move |name| (name.as_str(), self.stages[stage].result_bytes))
     }
 
-    /// Results that no stage and not the request itself needs any more.
-    pub fn take_spent(&mut self) -> Vec<String> {
+    /// Results that no stage and not the request itself needs any more, by
+    /// the service of their stage.
+    pub fn take_spent(&mut self) -> Vec<(PoolName, Vec<String>)> {
         let mut spent = Vec::new();
         for stage in 0..self.stages.len() {
             let mut followers = (0..self.stages.len())
@@ -103,17 +108,23 @@
                 .peekable();
             let is_final = followers.peek().is_none();
             let is_spent = followers.all(|other| self.results[other].is_some());
-            if let (false, true, Some(results)) = (is_final, is_spent, &mut self.results[stage]) {
-                spent.append(results);
+            if !is_final && is_spent {
+                spent.extend(self.take(stage));
             }
         }
         spent
     }
 
-    /// All results that are still held.
-    pub fn take_all(&mut self) -> Vec<String> {
-        let results = self.results.iter_mut().flatten();
-        results.flat_map(std::mem::take).collect()
+    /// All results that are still held, by the service of their stage.
+    pub fn take_all(&mut self) -> Vec<(PoolName, Vec<String>)> {
+        let stages = 0..self.stages.len();
+        stages.filter_map(|stage| self.take(stage)).collect()
+    }
+
+    fn take(&mut self, stage: usize) -> Option<(PoolName, Vec<String>)> {
+        let results = std::mem::take(self.results[stage].as_mut()?);
+        let service = self.stages[stage].service.clone();
+        (!results.is_empty()).then_some((service, results))
     }
 
     /// The stages, as the route declares them.
@@ -121,10 +132,4 @@
     pub fn stages(&self) -> &[GraphStage] {
         &self.stages
     }
-
-    fn collect(&self, stage: usize, names: &mut Vec<String>) {
-        if let Some(results) = &self.results[stage] {
-            names.extend_from_slice(results);
-        }
-    }
 }
--- a/crates/core/src/staging/mod.rs
+++ b/crates/core/src/staging/mod.rs
@@ -3,6 +3,7 @@
 
 mod call_end;
 mod graph_progress;
+mod held_results;
 mod path_estimate;
 mod piece_end;
 mod queue_target;
--- a/crates/core/src/staging/queue_target.rs
+++ b/crates/core/src/staging/queue_target.rs
@@ -16,6 +16,8 @@
     pub(super) failures: u32,
     pub(super) paused_until: ClockTime,
     pub(super) listed: bool,
+    /// Room taken by results, those included that are being made.
+    pub(super) taken: u64,
 }
 
 impl QueueTarget {
@@ -28,6 +30,7 @@
             failures: 0,
             paused_until: ClockTime::ZERO,
             listed: true,
+            taken: 0,
         }
     }
 
--- a/crates/core/src/staging/stage_call.rs
+++ b/crates/core/src/staging/stage_call.rs
@@ -12,6 +12,8 @@
     pub set: SetNumber,
     /// Number of the piece in its set, from 0.
     pub piece: u32,
+    /// Room that its result takes.
+    pub bytes: u64,
     /// Time left until the piece is of no use.
     pub left: TimeSpan,
 }
--- a/crates/core/src/staging/stage_queue.rs
+++ b/crates/core/src/staging/stage_queue.rs
@@ -2,7 +2,9 @@
 
 use super::{
     CallEnd, CallNumber, CallPiece, PieceEnd, SetEnd, SetFailure, SetNumber, StageCall,
-    StageRefusal, StageSet, queue_target::QueueTarget,
+    StageRefusal, StageSet,
+    held_results::{HeldResult, HeldResults},
+    queue_target::QueueTarget,
 };
 use crate::{
     clock::{ClockTime, TimeSpan},
@@ -25,12 +27,18 @@
 const REFUSED_PAUSE: TimeSpan = TimeSpan::from_millis(60);
 /// Pause of a target that has no room for results.
 const NO_ROOM_PAUSE: TimeSpan = TimeSpan::from_millis(100);
+/// Part of a full call's time for which a set waits for a target in the zone
+/// of its results. Longer, and the set would miss a whole round of calls.
+const HOME_PATIENCE: f64 = 0.5;
+/// Longest wait between two looks at a queue in which something waits though a
+/// target is free.
+const LOOK_SPAN: TimeSpan = TimeSpan::from_millis(20);
 
 /// One waiting or running set.
 #[derive(Clone, Debug)]
 struct QueuedSet {
     set: StageSet,
-    arrived: u64,
+    arrived_at: ClockTime,
     /// Pieces that wait for a call.
     waiting: Vec<u32>,
     results: Vec<Option<String>>,
@@ -57,12 +65,18 @@
 /// that can still meet their goal go first, the most urgent before the others;
 /// then those that can only be late. A set that can't be done before its
 /// deadline is turned away as it arrives.
+///
+/// Results take room at their makers until they are freed. A call is made only
+/// where its results find room. The pieces of one set stay together as long as
+/// they fit a call, and go to the zone in which their results will be read
+/// unless they have waited for long.
 #[derive(Clone, Debug)]
 pub struct StageQueue {
     service: StageService,
     targets: BTreeMap<TargetId, QueueTarget>,
     sets: BTreeMap<SetNumber, QueuedSet>,
     calls: BTreeMap<CallNumber, RunningCall>,
+    held: HeldResults,
     next_set: u64,
     next_call: u64,
     /// Earliest start of the next call that isn't full.
@@ -72,12 +86,13 @@
 impl StageQueue {
     /// Creates an empty queue.
     #[must_use]
-    pub const fn new(service: StageService) -> Self {
+    pub fn new(service: StageService) -> Self {
         Self {
             service,
             targets: BTreeMap::new(),
             sets: BTreeMap::new(),
             calls: BTreeMap::new(),
+            held: HeldResults::default(),
             next_set: 0,
             next_call: 0,
             next_start: ClockTime::ZERO,
@@ -127,11 +142,11 @@
         self.sets.insert(
             number,
             QueuedSet {
-                set,
-                arrived: number.0,
+                arrived_at: now,
                 waiting: (0..set.pieces).collect(),
                 results: vec![None; count(set.pieces)],
                 missing: set.pieces,
+                set,
                 retries: 0,
             },
         );
@@ -182,31 +197,31 @@
             .collect()
     }
 
+    /// Takes note that results are no longer held by their makers.
+    pub fn free(&mut self, names: &[String]) {
+        for name in names {
+            if let Some(result) = self.held.remove(name) {
+                self.give_room(&result.maker, result.bytes);
+            }
+        }
+    }
+
     /// The next call to make, if there is one. Asked again until there is
     /// none.
     #[must_use]
     pub fn plan(&mut self, now: ClockTime) -> Option<StageCall> {
-        let target = self.pick_target(now)?;
-        let order = self.order(now);
-        let waiting: usize = self.sets.values().map(|set| set.waiting.len()).sum();
+        for result in self.held.take_expired(now) {
+            self.give_room(&result.maker, result.bytes);
+        }
+        let waiting = self.waiting_pieces();
         if waiting == 0 || (waiting < self.service.batch && now < self.next_start) {
             return None;
         }
-        let mut pieces = Vec::new();
-        for number in order {
-            let set = self.sets.get_mut(&number)?;
-            while pieces.len() < self.service.batch {
-                let Some(piece) = set.waiting.first().copied() else {
-                    break;
-                };
-                set.waiting.remove(0);
-                pieces.push(CallPiece {
-                    set: number,
-                    piece,
-                    left: now.until(set.set.dead_at),
-                });
-            }
-        }
+        let order = self.order(now);
+        let target = order
+            .iter()
+            .find_map(|number| self.pick_target(*number, now))?;
+        let pieces = self.fill(&target, &order, now);
         let expected_ms = self.service.call_time(pieces.len());
         let number = CallNumber(self.next_call);
         self.next_call += 1;
@@ -235,20 +250,25 @@
     /// When [`Self::plan`] should be asked again, if nothing else happens.
     #[must_use]
     pub fn next_time(&self, now: ClockTime) -> Option<ClockTime> {
-        let waits = self.sets.values().any(|set| !set.waiting.is_empty());
-        if !waits {
+        if self.waiting_pieces() == 0 {
             return None;
         }
         let has_free = self.targets.values().any(|target| target.is_free(now));
         if has_free {
-            return Some(self.next_start);
+            let soon = now + LOOK_SPAN;
+            return Some(if self.next_start > now {
+                self.next_start.min(soon)
+            } else {
+                soon
+            });
         }
         let paused = self.targets.values().filter(|target| {
             target.listed && target.running < target.slots && target.paused_until > now
         });
         let resumes = paused.map(|target| target.paused_until).min();
         let dead = self.sets.values().map(|set| set.set.dead_at).min();
-        resumes.into_iter().chain(dead).min()
+        let times = resumes.into_iter().chain(dead);
+        times.chain(self.held.next_expiry()).min()
     }
 
     /// Takes in the end of a call. Returns the sets that are done with.
@@ -257,6 +277,7 @@
             return Vec::new();
         };
         self.observe(&call, &end, now);
+        self.settle_room(&call, &end, now);
         match end {
             CallEnd::Answered(ends) if ends.len() == call.pieces.len() => {
                 let mut done = Vec::new();
@@ -376,9 +397,52 @@
             .retain(|_, target| target.listed || target.running > 0);
     }
 
-    /// The free target that is expected to be the quickest. A slow one gets a
-    /// call only if more waits than one call of the others can carry.
-    fn pick_target(&self, now: ClockTime) -> Option<TargetId> {
+    /// Gives back the room that a call had reserved and takes that of the
+    /// results which it has left.
+    fn settle_room(&mut self, call: &RunningCall, end: &CallEnd, now: ClockTime) {
+        let reserved: u64 = call.pieces.iter().map(|piece| piece.bytes).sum();
+        self.give_room(&call.target, reserved);
+        let CallEnd::Answered(ends) = end else {
+            return;
+        };
+        let expires = now + self.service.result_lifetime;
+        for (piece, end) in call.pieces.iter().zip(ends) {
+            if let PieceEnd::Held(name) = end {
+                let result = HeldResult {
+                    maker: call.target.clone(),
+                    bytes: piece.bytes,
+                };
+                self.held.insert(name, result, expires);
+                if let Some(target) = self.targets.get_mut(&call.target) {
+                    target.taken += piece.bytes;
+                }
+            }
+        }
+    }
+
+    fn give_room(&mut self, target: &TargetId, bytes: u64) {
+        if let Some(target) = self.targets.get_mut(target) {
+            target.taken = target.taken.saturating_sub(bytes);
+        }
+    }
+
+    fn room_left(&self, target: &QueueTarget) -> u64 {
+        self.service.room.as_bytes().saturating_sub(target.taken)
+    }
+
+    /// Whether a set may go to a zone: its own, or any if it has waited for
+    /// long.
+    fn may_go(&self, set: &QueuedSet, zone: &ZoneName, now: ClockTime) -> bool {
+        let patience = self.service.call_time(self.service.batch) * HOME_PATIENCE;
+        let is_home = set.set.home.as_ref().is_none_or(|home| home == zone);
+        is_home || now.since(set.arrived_at) >= numbers::span(patience)
+    }
+
+    /// The free target that a set should go to: in its zone if there is one,
+    /// then the quickest. A slow one gets a call only if more waits than one
+    /// call of the others can carry.
+    fn pick_target(&self, number: SetNumber, now: ClockTime) -> Option<TargetId> {
+        let set = self.sets.get(&number)?;
         let waiting = self.waiting_pieces();
         let any_quick = self
             .targets
@@ -386,12 +450,64 @@
             .any(|target| target.listed && !target.is_slow() && target.paused_until <= now);
         let free = self.targets.iter().filter(|(_, target)| {
             let worth_it = !target.is_slow() || !any_quick || waiting > self.service.batch;
-            target.is_free(now) && worth_it
+            let has_room = self.room_left(target) >= set.set.piece_bytes;
+            target.is_free(now) && worth_it && has_room && self.may_go(set, &target.zone, now)
         });
-        let best = free.min_by(|left, right| left.1.pace.total_cmp(&right.1.pace))?;
+        let is_away = |target: &QueueTarget| {
+            let home = set.set.home.as_ref();
+            home.is_some_and(|home| *home != target.zone)
+        };
+        let best = free.min_by(|left, right| {
+            let by_zone = is_away(left.1).cmp(&is_away(right.1));
+            by_zone.then(left.1.pace.total_cmp(&right.1.pace))
+        })?;
         Some(best.0.clone())
     }
 
+    /// Takes the pieces of a call to `target` from the sets that wait. A set
+    /// is split only if it doesn't fit a call of its own.
+    fn fill(&mut self, target: &TargetId, order: &[SetNumber], now: ClockTime) -> Vec<CallPiece> {
+        let mut pieces = Vec::new();
+        let Some(state) = self.targets.get(target) else {
+            return pieces;
+        };
+        let zone = state.zone.clone();
+        let mut room = self.room_left(state);
+        for number in order {
+            let free = self.service.batch - pieces.len();
+            let Some(set) = self.sets.get(number) else {
+                continue;
+            };
+            let fitting = room.checked_div(set.set.piece_bytes).unwrap_or(u64::MAX);
+            let fitting = usize::try_from(fitting).unwrap_or(usize::MAX).min(free);
+            let is_whole = set.waiting.len() <= fitting;
+            if !(is_whole || pieces.is_empty()) || !self.may_go(set, &zone, now) {
+                continue;
+            }
+            let taken = set.waiting.len().min(fitting);
+            let Some(set) = self.sets.get_mut(number) else {
+                continue;
+            };
+            for piece in set.waiting.drain(..taken) {
+                room = room.saturating_sub(set.set.piece_bytes);
+                pieces.push(CallPiece {
+                    set: *number,
+                    piece,
+                    bytes: set.set.piece_bytes,
+                    left: now.until(set.set.dead_at),
+                });
+            }
+            if pieces.len() == self.service.batch {
+                break;
+            }
+        }
+        let reserved: u64 = pieces.iter().map(|piece| piece.bytes).sum();
+        if let Some(state) = self.targets.get_mut(target) {
+            state.taken += reserved;
+        }
+        pieces
+    }
+
     /// Sets in the order in which they get places in calls.
     fn order(&self, now: ClockTime) -> Vec<SetNumber> {
         let least = now + numbers::span(self.service.call_time(1));
@@ -409,7 +525,7 @@
                 // Sets that were begun are finished first: half a set is of
                 // no use to anyone.
                 let is_whole = set.waiting.len() == set.results.len();
-                ((is_late, is_whole, due, set.arrived), *number)
+                ((is_late, is_whole, due), *number)
             })
             .collect();
         order.sort_unstable();
--- a/crates/core/src/staging/stage_set.rs
+++ b/crates/core/src/staging/stage_set.rs
@@ -1,14 +1,19 @@
-use crate::clock::ClockTime;
+use crate::{clock::ClockTime, ids::ZoneName};
 
 /// Identifies a set of pieces at its queue.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct SetNumber(pub u64);
 
 /// All pieces that one request needs of one stage.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StageSet {
     /// Number of pieces.
     pub pieces: u32,
+    /// Approximate size of the result of one piece, in bytes.
+    pub piece_bytes: u64,
+    /// Zone in which the results will be read, if their size makes that
+    /// matter.
+    pub home: Option<ZoneName>,
     /// When the results must be there for the request to meet its goal.
     pub goal_at: ClockTime,
     /// When the results must be there for the request to be served at all.
--- a/crates/core/src/targets/target_loads.rs
+++ b/crates/core/src/targets/target_loads.rs
@@ -117,30 +117,48 @@
             .retain(|target, load| load.in_flight > 0 || is_known(target));
     }
 
-    /// Chooses a target for a request. Targets in the wanted zone go first,
-    /// then the one that may hold the prompt if its load allows it, then the
-    /// one with the least expected work.
+    /// Chooses a target for a request: the one that may hold its prompt if its
+    /// load allows it, then one in the wanted zone, then the one with the least
+    /// expected work.
     #[must_use]
     pub fn choose(
         &self,
         candidates: &[Arc<TargetRecord>],
         ask: &ChoiceAsk<'_>,
     ) -> Option<Arc<TargetRecord>> {
-        let untried: Vec<_> = candidates
-            .iter()
-            .filter(|record| !ask.tried.contains(&record.id))
-            .collect();
-        let usable = self.without_ejected(untried, ask.now);
+        if let Some(holder) = self.holder(candidates, ask) {
+            return Some(holder);
+        }
+        let usable = self.usable(candidates, ask);
         let near: Vec<_> = usable
             .iter()
             .copied()
             .filter(|record| ask.zone == Some(&record.zone))
             .collect();
         let pool = if near.is_empty() { usable } else { near };
-        let chosen = self
-            .by_affinity(&pool, ask)
-            .or_else(|| self.by_load(&pool, ask))?;
-        Some(Arc::clone(chosen))
+        self.by_load(&pool, ask).map(Arc::clone)
+    }
+
+    /// The target that may hold a request's prompt, if its load allows it.
+    #[must_use]
+    pub fn holder(
+        &self,
+        candidates: &[Arc<TargetRecord>],
+        ask: &ChoiceAsk<'_>,
+    ) -> Option<Arc<TargetRecord>> {
+        let usable = self.usable(candidates, ask);
+        self.by_affinity(&usable, ask).map(Arc::clone)
+    }
+
+    fn usable<'a>(
+        &self,
+        candidates: &'a [Arc<TargetRecord>],
+        ask: &ChoiceAsk<'_>,
+    ) -> Vec<&'a Arc<TargetRecord>> {
+        let untried = candidates
+            .iter()
+            .filter(|record| !ask.tried.contains(&record.id));
+        self.without_ejected(untried.collect(), ask.now)
     }
 
     fn without_ejected<'a>(
--- a/crates/gateway/src/front/active_request.rs
+++ b/crates/gateway/src/front/active_request.rs
@@ -9,6 +9,9 @@
 
 use crate::http::RequestHead;
 
+/// Part of a caller's patience that is left for the way of an answer.
+const FIRST_EVENT_MARGIN: TimeSpan = TimeSpan::from_millis(50);
+
 /// A request that a route takes, for as long as it lives.
 #[derive(Debug)]
 pub struct ActiveRequest {
@@ -39,6 +42,13 @@
         now.until(self.limit_at)
     }
 
+    /// When a stream must have begun: callers leave silent ones.
+    #[must_use]
+    pub fn first_event_by(&self) -> ClockTime {
+        let silent = self.received + self.route.first_event_limit();
+        self.limit_at.min(silent - FIRST_EVENT_MARGIN)
+    }
+
     /// When an answer has its full value no longer.
     #[must_use]
     pub fn goal_at(&self) -> ClockTime {
--- a/crates/gateway/src/front/stream_flow.rs
+++ b/crates/gateway/src/front/stream_flow.rs
@@ -240,10 +240,11 @@
         request: &request.id,
         key: fields.text(headers::PIECE_KEY).unwrap_or_default(),
         pieces: &pieces,
+        home: send.home(),
         goal_at: request.goal_at(),
-        dead_at: request.limit_at,
+        dead_at: request.first_event_by(),
     };
-    let left = request.left(shared.now());
+    let left = shared.now().until(request.first_event_by());
     let (code, retry_after) = match within(left, flow.run()).await {
         Some(Ok(output)) => return Ok(output),
         Some(Err(StageFailure::Refused { retry_after })) => ("stages_full", retry_after),
--- a/crates/gateway/src/front/target_send.rs
+++ b/crates/gateway/src/front/target_send.rs
@@ -52,6 +52,16 @@
         }
     }
 
+    /// Zone of the target that may hold the request's prompt.
+    pub(super) fn home(&self) -> Option<ZoneName> {
+        let candidates = self.shared.ready_targets(&self.request.service);
+        let ask = self.choice_ask();
+        let loads = self.shared.loads.borrow();
+        loads
+            .holder(&candidates, &ask)
+            .map(|record| record.zone.clone())
+    }
+
     /// Whether another target may get the request.
     pub(super) fn may_send(&self) -> bool {
         let route = &self.request.route;
@@ -188,14 +198,18 @@
 
     fn choose(&self) -> Option<Arc<TargetRecord>> {
         let candidates = self.shared.ready_targets(&self.request.service);
-        let ask = ChoiceAsk {
+        let ask = self.choice_ask();
+        self.shared.loads.borrow().choose(&candidates, &ask)
+    }
+
+    fn choice_ask(&self) -> ChoiceAsk<'_> {
+        ChoiceAsk {
             now: self.shared.now(),
             tried: self.ledger.tried(),
             zone: self.zone.as_ref(),
             affinity: prompt_affinity(self.request),
             seed: self.shared.random(),
-        };
-        self.shared.loads.borrow().choose(&candidates, &ask)
+        }
     }
 
     /// Reads a refusal to its end, so that its connection can be used again.
--- a/crates/gateway/src/peers/gossip_message.rs
+++ b/crates/gateway/src/peers/gossip_message.rs
@@ -41,6 +41,10 @@
     pub targets: Option<TargetListing>,
 }
 
+/// Says that a message was taken.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct PeerAck;
+
 impl GossipNote {
     /// The note of this node.
     #[must_use]
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -7,7 +7,7 @@
 mod peer_front;
 
 pub use self::{
-    gossip_message::{GossipNote, GossipReply, TargetListing},
+    gossip_message::{GossipNote, GossipReply, PeerAck, TargetListing},
     gossip_round::GossipRound,
     peer_client::{PeerClient, PeerError},
     peer_front::PeerFront,
@@ -17,3 +17,5 @@
 pub const GOSSIP_PATH: &str = "/gossip";
 /// Path of sets of pieces.
 pub const STAGE_PATH: &str = "/stage";
+/// Path of the news that results are no longer needed.
+pub const FREE_PATH: &str = "/free";
--- a/crates/gateway/src/peers/peer_front.rs
+++ b/crates/gateway/src/peers/peer_front.rs
@@ -5,11 +5,11 @@
 use serde::{Serialize, de::DeserializeOwned};
 use smol::{Async, Timer};
 
-use super::{GOSSIP_PATH, GossipNote, GossipReply, STAGE_PATH};
+use super::{FREE_PATH, GOSSIP_PATH, GossipNote, GossipReply, PeerAck, STAGE_PATH};
 use crate::{
     http::{BodyReader, HeaderList, HttpStream, RequestHead, ResponseHead, request_framing},
     process::Shared,
-    staging::StageAsk,
+    staging::{FreeNote, StageAsk},
 };
 
 /// Largest head of a call of another gateway.
@@ -103,6 +103,11 @@
                 let answer = self.shared.desk.run(&self.shared, ask).await;
                 self.encode(&answer)
             }
+            path if path == FREE_PATH.as_bytes() => {
+                let note: FreeNote = self.decode(body)?;
+                self.shared.desk.free(&self.shared, note);
+                self.encode(&PeerAck)
+            }
             _ => None,
         }
     }
--- a/crates/gateway/src/staging/mod.rs
+++ b/crates/gateway/src/staging/mod.rs
@@ -15,5 +15,5 @@
     stage_client::StageClient,
     stage_desk::StageDesk,
     stage_flow::{StageFailure, StageFlow, StageOutput},
-    stage_message::{StageAnswer, StageAsk},
+    stage_message::{FreeNote, StageAnswer, StageAsk},
 };
--- a/crates/gateway/src/staging/result_desk.rs
+++ b/crates/gateway/src/staging/result_desk.rs
@@ -2,51 +2,102 @@
 
 use bytes::Bytes;
 use smol::Timer;
-use verbenahub_core::{clock::TimeSpan, targets::TargetRecord};
+use verbenahub_core::{
+    clock::TimeSpan,
+    ids::{NodeId, PoolName},
+    targets::TargetRecord,
+};
 use verbenahub_platform::{encode_free, headers, paths, result_maker};
 
+use super::{FreeNote, StageClient};
 use crate::{
     http::HeaderList,
+    peers::{FREE_PATH, PeerAck},
     process::Shared,
     targets::{ExchangeAsk, TargetExchange},
 };
 
-/// Time over which results are collected before their maker is told. Short
-/// against the time that results live, long against the time between requests.
-const COLLECT_TIME: Duration = Duration::from_millis(60);
-/// Time for a target's answer to the news.
+/// Time over which results are collected before the news of them goes on.
+/// Short against the time of a call, which may wait for their room; long
+/// against the time between requests.
+const COLLECT_TIME: Duration = Duration::from_millis(15);
+/// Time for an answer to the news.
 const ANSWER_TIMEOUT: TimeSpan = TimeSpan::from_millis(1_000);
 
-/// Tells targets which results nobody needs any more, so that they have room
-/// for others.
+/// Passes on the news of results that nobody needs any more: to the node that
+/// collects for their service, which plans with the room, and by it to the
+/// targets that hold them.
 #[derive(Debug, Default)]
 pub struct ResultDesk {
-    spent: RefCell<HashMap<SocketAddr, Vec<String>>>,
+    for_collectors: RefCell<HashMap<(NodeId, PoolName), Vec<String>>>,
+    for_makers: RefCell<HashMap<SocketAddr, Vec<String>>>,
 }
 
 impl ResultDesk {
-    /// Takes names of results that are no longer needed.
-    pub fn free(&self, shared: &Shared, names: Vec<String>) {
-        let mut spent = self.spent.borrow_mut();
+    /// Gives up results of a request.
+    pub fn free(&self, shared: &Shared, request: &str, service: PoolName, names: Vec<String>) {
+        let owner = StageClient::collector(shared, &service, request);
+        let Some(owner) = owner.filter(|owner| *owner != shared.profile.node) else {
+            shared.desk.free(shared, FreeNote { service, names });
+            return;
+        };
+        let mut waiting = self.for_collectors.borrow_mut();
+        let collected = waiting.entry((owner.clone(), service.clone())).or_default();
+        let is_first = collected.is_empty();
+        collected.extend(names);
+        if is_first {
+            let task = Shared::clone(shared);
+            shared.tasks.spawn(async move {
+                Timer::after(COLLECT_TIME).await;
+                task.results.tell_collector(&task, owner, service).await;
+            });
+        }
+    }
+
+    /// Tells the targets that hold results that these are no longer needed.
+    pub fn tell_makers(&self, shared: &Shared, names: Vec<String>) {
+        let mut waiting = self.for_makers.borrow_mut();
         for name in names {
             let Some(maker) = result_maker(&name) else {
                 slog::warn!(shared.log, "stage: Result without a maker."; "result" => name);
                 continue;
             };
-            let collected = spent.entry(maker).or_default();
+            let collected = waiting.entry(maker).or_default();
             collected.push(name);
             if collected.len() == 1 {
-                let shared_task = Shared::clone(shared);
+                let task = Shared::clone(shared);
                 shared.tasks.spawn(async move {
                     Timer::after(COLLECT_TIME).await;
-                    shared_task.results.send(&shared_task, maker).await;
+                    task.results.send(&task, maker).await;
                 });
             }
         }
     }
 
+    async fn tell_collector(&self, shared: &Shared, owner: NodeId, service: PoolName) {
+        let key = (owner.clone(), service.clone());
+        let names = self.for_collectors.borrow_mut().remove(&key);
+        let names = names.unwrap_or_default();
+        let address = shared.fleet.borrow().address_of(&owner);
+        let note = FreeNote { service, names };
+        let told = match address {
+            Some(address) => {
+                let peers = &shared.peers;
+                let call = peers.call::<_, PeerAck>(address, FREE_PATH, &note, ANSWER_TIMEOUT);
+                call.await.map_err(|error| error.to_string())
+            }
+            None => Err("unknown address".to_owned()),
+        };
+        if let Err(error) = told {
+            slog::debug!(shared.log, "stage: Collector not told of results.";
+                "collector" => %owner, "error" => error);
+            self.tell_makers(shared, note.names);
+        }
+    }
+
     async fn send(&self, shared: &Shared, maker: SocketAddr) {
-        let names = self.spent.borrow_mut().remove(&maker).unwrap_or_default();
+        let names = self.for_makers.borrow_mut().remove(&maker);
+        let names = names.unwrap_or_default();
         // Results don't outlive their maker.
         let Some(record) = find(shared, maker) else {
             return;
--- a/crates/gateway/src/staging/result_guard.rs
+++ b/crates/gateway/src/staging/result_guard.rs
@@ -6,6 +6,7 @@
 #[derive(Debug)]
 pub struct ResultGuard {
     shared: Shared,
+    request: String,
     /// How far the stages have come.
     pub progress: GraphProgress,
 }
@@ -13,25 +14,28 @@
 impl ResultGuard {
     /// Guards the results of a request's stages.
     #[must_use]
-    pub const fn new(shared: Shared, progress: GraphProgress) -> Self {
-        Self { shared, progress }
+    pub fn new(shared: Shared, request: &str, progress: GraphProgress) -> Self {
+        Self {
+            shared,
+            request: request.to_owned(),
+            progress,
+        }
     }
 
     /// Gives up results that nothing needs any more.
     pub fn free_spent(&mut self) {
-        let spent = self.progress.take_spent();
-        self.shared.results.free(&self.shared, spent);
-    }
-
-    /// Gives up all results.
-    pub fn free_all(&mut self) {
-        let names = self.progress.take_all();
-        self.shared.results.free(&self.shared, names);
+        for (service, names) in self.progress.take_spent() {
+            let results = &self.shared.results;
+            results.free(&self.shared, &self.request, service, names);
+        }
     }
 }
 
 impl Drop for ResultGuard {
     fn drop(&mut self) {
-        self.free_all();
+        for (service, names) in self.progress.take_all() {
+            let results = &self.shared.results;
+            results.free(&self.shared, &self.request, service, names);
+        }
     }
 }
--- a/crates/gateway/src/staging/stage_client.rs
+++ b/crates/gateway/src/staging/stage_client.rs
@@ -2,7 +2,7 @@
 
 use verbenahub_core::{
     clock::{ClockTime, TimeSpan},
-    ids::PoolName,
+    ids::{NodeId, PoolName},
     staging::ShardMap,
 };
 
@@ -38,6 +38,15 @@
         })
     }
 
+    /// The node that collects the pieces of a request for a service.
+    #[must_use]
+    pub fn collector(shared: &Shared, service: &PoolName, request: &str) -> Option<NodeId> {
+        let count = shared.ready_targets(service).len();
+        let members = shared.fleet.borrow().active(shared.now());
+        let shards = ShardMap::new(service, count, &members);
+        shards.owner_of_request(request).cloned()
+    }
+
     /// Has the pieces of a set produced by their collector.
     pub async fn run(&self, shared: &Shared, ask: StageAsk) -> StageAnswer {
         let begun = shared.now();
@@ -66,10 +75,7 @@
         ask: StageAsk,
     ) -> Result<(PoolName, StageAnswer), PeerError> {
         let service = ask.service.clone();
-        let count = shared.ready_targets(&service).len();
-        let members = shared.fleet.borrow().active(shared.now());
-        let shards = ShardMap::new(&service, count, &members);
-        let owner = shards.owner_of_request(&ask.request).cloned();
+        let owner = Self::collector(shared, &service, &ask.request);
         let remote = owner.filter(|owner| *owner != shared.profile.node);
         let address = remote
             .as_ref()
--- a/crates/gateway/src/staging/stage_desk.rs
+++ b/crates/gateway/src/staging/stage_desk.rs
@@ -14,7 +14,7 @@
     staging::{CallEnd, CallNumber, SetEnd, SetFailure, SetNumber, ShardMap, StageQueue, StageSet},
 };
 
-use super::{StageAnswer, StageAsk, stage_call_run::StageCallRun};
+use super::{FreeNote, StageAnswer, StageAsk, stage_call_run::StageCallRun};
 use crate::process::Shared;
 
 /// Shortest wait between two looks at a queue, so that rounding of times
@@ -55,7 +55,7 @@
     fn drop(&mut self) {
         if self.queue.waiters.borrow_mut().remove(&self.set).is_some() {
             let unused = self.queue.queue.borrow_mut().cancel(self.set);
-            self.shared.results.free(&self.shared, unused);
+            self.queue.free(&self.shared, unused);
         }
     }
 }
@@ -72,6 +72,8 @@
         queue.update_targets(shared);
         let set = StageSet {
             pieces: ask.pieces,
+            piece_bytes: ask.piece_bytes,
+            home: ask.home.clone(),
             goal_at: now + ask.goal_left,
             dead_at: now + ask.dead_left,
             refusable: ask.refusable,
@@ -122,6 +124,17 @@
         }
     }
 
+    /// Takes note that results are no longer needed, and tells their makers.
+    pub fn free(&self, shared: &Shared, note: FreeNote) {
+        let queue = self.queues.borrow().get(&note.service).map(Rc::clone);
+        match queue {
+            Some(queue) => queue.free(shared, note.names),
+            // Another node has collected them; their makers are told all the
+            // same.
+            None => shared.results.tell_makers(shared, note.names),
+        }
+    }
+
     fn queue(&self, shared: &Shared, service: &PoolName) -> Option<Rc<DeskQueue>> {
         let spec = shared.config()?.stage_service(service)?;
         let mut queues = self.queues.borrow_mut();
@@ -188,6 +201,16 @@
         self.wake();
     }
 
+    /// Takes note that results are no longer needed.
+    pub(super) fn free(&self, shared: &Shared, names: Vec<String>) {
+        if names.is_empty() {
+            return;
+        }
+        self.queue.borrow_mut().free(&names);
+        shared.results.tell_makers(shared, names);
+        self.wake();
+    }
+
     /// What a set was asked for, unless its request is gone.
     pub(super) fn ask_of(&self, set: SetNumber) -> Option<Rc<StageAsk>> {
         let waiters = self.waiters.borrow();
@@ -201,7 +224,7 @@
 
     fn deliver(&self, shared: &Shared, ends: Vec<SetEnd>) {
         for end in ends {
-            shared.results.free(shared, end.unused);
+            self.free(shared, end.unused);
             let waiter = self.waiters.borrow_mut().remove(&end.set);
             match (waiter, end.outcome) {
                 (Some(waiter), outcome) => {
@@ -213,7 +236,7 @@
                     // The receiver is gone with its request; nothing to tell.
                     let _ = waiter.done.try_send(outcome);
                 }
-                (None, Ok(results)) => shared.results.free(shared, results),
+                (None, Ok(results)) => self.free(shared, results),
                 (None, Err(_)) => {}
             }
         }
--- a/crates/gateway/src/staging/stage_flow.rs
+++ b/crates/gateway/src/staging/stage_flow.rs
@@ -12,6 +12,10 @@
 use super::{ResultGuard, StageAnswer, StageAsk};
 use crate::process::Shared;
 
+/// Size in bytes from which results should be made where they are read. The
+/// way of smaller ones costs less than waiting for a target.
+const LARGE_RESULTS: u64 = 1_000_000;
+
 /// Why the stages of a request brought no results.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StageFailure {
@@ -50,6 +54,8 @@
     pub key: &'a str,
     /// Pieces of each stage.
     pub pieces: &'a [u32],
+    /// Zone of the target that should run it, if one is better than others.
+    pub home: Option<ZoneName>,
     /// When its answer must begin to meet its goal.
     pub goal_at: ClockTime,
     /// When it must be over.
@@ -67,7 +73,7 @@
         let stages = Arc::from(self.route.stages.as_slice());
         let progress = GraphProgress::new(stages, self.pieces)
             .ok_or_else(|| StageFailure::Failed("pieces don't fit the stages".to_owned()))?;
-        let mut guard = ResultGuard::new(Shared::clone(self.shared), progress);
+        let mut guard = ResultGuard::new(Shared::clone(self.shared), self.request, progress);
         let estimate = self.estimate();
         self.admit(&estimate)?;
         let (done, ended) = async_channel::unbounded();
@@ -103,7 +109,9 @@
         }
         let inputs = guard.progress.final_results();
         Ok(StageOutput {
-            zone: self.zone_of(&guard.progress),
+            zone: self
+                .main_zone(guard.progress.final_results_sized())
+                .map(|(zone, _)| zone),
             inputs,
             guard,
         })
@@ -152,6 +160,8 @@
             request: self.request.to_owned(),
             stage,
             pieces: progress.pieces(stage),
+            piece_bytes: spec.result_bytes,
+            home: self.home_of(progress, stage),
             input,
             goal_left: now.until(self.goal_at - after),
             dead_left: now.until(self.dead_at - after),
@@ -159,11 +169,31 @@
         }
     }
 
-    /// The zone of the makers of most bytes that the request reads.
-    fn zone_of(&self, progress: &GraphProgress) -> Option<ZoneName> {
+    /// Zone in which the pieces of a stage are best made. Each piece reads all
+    /// results of the stages before, so these decide if there are any; else the
+    /// zone in which the request itself will read them.
+    fn home_of(&self, progress: &GraphProgress, stage: usize) -> Option<ZoneName> {
+        let spec = &self.route.stages[stage];
+        let pieces = u64::from(progress.pieces(stage));
+        let read = self.main_zone(progress.inputs_sized(stage));
+        if let Some((zone, bytes)) = read {
+            return (bytes * pieces >= LARGE_RESULTS).then_some(zone);
+        }
+        let is_large = pieces * spec.result_bytes >= LARGE_RESULTS;
+        self.home.clone().filter(|_| is_large)
+    }
+
+    /// The zone of the makers of most bytes of some results, with the size of
+    /// all of them.
+    fn main_zone<'a, Results>(&self, results: Results) -> Option<(ZoneName, u64)>
+    where
+        Results: Iterator<Item = (&'a str, u64)>,
+    {
         let registry = self.shared.registry.borrow();
         let mut sizes: Vec<(ZoneName, u64)> = Vec::new();
-        for (name, bytes) in progress.final_results_sized() {
+        let mut total = 0;
+        for (name, bytes) in results {
+            total += bytes;
             let maker = result_maker(name)?;
             let record = registry.records().find(|record| record.address == maker)?;
             match sizes.iter_mut().find(|(zone, _)| *zone == record.zone) {
@@ -171,9 +201,7 @@
                 None => sizes.push((record.zone.clone(), bytes)),
             }
         }
-        sizes
-            .into_iter()
-            .max_by_key(|(_, size)| *size)
-            .map(|(zone, _)| zone)
+        let largest = sizes.into_iter().max_by_key(|(_, size)| *size)?;
+        Some((largest.0, total))
     }
 }
--- a/crates/gateway/src/staging/stage_message.rs
+++ b/crates/gateway/src/staging/stage_message.rs
@@ -1,5 +1,8 @@
 use serde::{Deserialize, Serialize};
-use verbenahub_core::{clock::TimeSpan, ids::PoolName};
+use verbenahub_core::{
+    clock::TimeSpan,
+    ids::{PoolName, ZoneName},
+};
 use verbenahub_platform::PieceInput;
 
 /// Asks for all pieces that a request needs of one stage.
@@ -13,6 +16,10 @@
     pub stage: usize,
     /// Number of pieces.
     pub pieces: u32,
+    /// Approximate size of the result of one piece, in bytes.
+    pub piece_bytes: u64,
+    /// Zone in which the results will be read, if that matters.
+    pub home: Option<ZoneName>,
     /// What they are made from.
     pub input: PieceInput,
     /// Time until the results are needed for the request to meet its goal.
@@ -46,3 +53,12 @@
         reason: String,
     },
 }
+
+/// Says that results are no longer needed.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct FreeNote {
+    /// Service whose targets have made them.
+    pub service: PoolName,
+    /// Their names.
+    pub names: Vec<String>,
+}
