--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -2,5 +2,12 @@
 
 mod fleet_member;
 mod fleet_table;
+mod reader_rank;
+mod weighted_order;
 
-pub use self::{fleet_member::FleetMember, fleet_table::FleetTable};
+pub use self::{
+    fleet_member::FleetMember,
+    fleet_table::FleetTable,
+    reader_rank::{ReaderPlan, ReaderRank},
+    weighted_order::weighted_order,
+};
--- a/crates/core/src/staging/shard_map.rs
+++ b/crates/core/src/staging/shard_map.rs
@@ -1,5 +1,6 @@
 use crate::{
     cluster::rendezvous,
+    fleet::weighted_order,
     ids::{NodeId, PoolName, TargetId},
 };
 
@@ -63,20 +64,7 @@
     }
 
     fn owner(service: &PoolName, shard: usize, members: &[(NodeId, f64)]) -> Option<NodeId> {
-        let key = rendezvous::text_hash(&format!("{service}#{shard}"));
-        let scored = members.iter().map(|(node, weight)| {
-            let hash = rendezvous::score(key, rendezvous::text_hash(node.as_str()));
-            (weighted_score(hash, *weight), node)
-        });
-        let best = scored.max_by(|left, right| left.0.total_cmp(&right.0))?;
-        Some(best.1.clone())
+        let key = format!("{service}#{shard}");
+        weighted_order(&key, members).first().copied().cloned()
     }
 }
-
-/// Score under which a member wins in proportion to its weight.
-// A draw keeps 32 of the hash's bits, which a floating point number holds.
-#[allow(clippy::cast_possible_truncation)]
-fn weighted_score(hash: u64, weight: f64) -> f64 {
-    let draw = (f64::from((hash >> 32) as u32) + 1.0) / (f64::from(u32::MAX) + 2.0);
-    -weight.max(f64::MIN_POSITIVE) / draw.ln()
-}
--- a/crates/core/src/targets/registry_change.rs
+++ b/crates/core/src/targets/registry_change.rs
@@ -1,8 +1,10 @@
+use serde::{Deserialize, Serialize};
+
 use super::TargetRecord;
 use crate::ids::{RevisionNumber, TargetId};
 
 /// One change of the registry.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RegistryChange {
     /// A target wrote its record.
     Put(TargetRecord),
--- a/crates/core/src/targets/store_contact.rs
+++ b/crates/core/src/targets/store_contact.rs
@@ -35,9 +35,22 @@
         is_new
     }
 
-    /// Notes that another node, which is in contact, holds nothing newer.
-    pub fn note_confirmation(&mut self, now: ClockTime) {
-        self.confirmed_at = Some(now);
+    /// Notes that what another node holds is held here too, and was current
+    /// `age` ago.
+    pub fn note_confirmation(&mut self, age: TimeSpan, now: ClockTime) {
+        self.confirmed_at = self.confirmed_at.max(Some(now - age));
+    }
+
+    /// Notes that this node leaves reading to others.
+    pub fn note_leaving(&mut self) {
+        self.failing_since = None;
+    }
+
+    /// Time since what is held was current, unless the store doesn't answer.
+    #[must_use]
+    pub fn age(&self, now: ClockTime) -> Option<TimeSpan> {
+        let confirmed = self.confirmed_at.filter(|_| self.failing_since.is_none());
+        confirmed.map(|at| now.since(at))
     }
 
     /// Notes that the process did not run for a while.
@@ -52,12 +65,6 @@
             .is_some_and(|at| now.since(at) < CURRENT_SPAN)
     }
 
-    /// Whether the store answers.
-    #[must_use]
-    pub const fn is_answering(&self) -> bool {
-        self.failing_since.is_none() && self.confirmed_at.is_some()
-    }
-
     /// Whether the store has answered for long enough that a record which is
     /// missing is gone for good.
     #[must_use]
--- a/crates/core/src/targets/target_registry.rs
+++ b/crates/core/src/targets/target_registry.rs
@@ -1,11 +1,14 @@
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     sync::Arc,
 };
 
 use super::{RegistryChange, TargetRecord, TargetState};
 use crate::ids::{PoolName, RevisionNumber, TargetId};
 
+/// Removals that are kept for processes that follow this one.
+const REMOVALS: usize = 256;
+
 /// One held record.
 #[derive(Clone, Debug)]
 struct HeldTarget {
@@ -24,6 +27,10 @@
 pub struct TargetRegistry {
     targets: BTreeMap<TargetId, HeldTarget>,
     revision: RevisionNumber,
+    /// Removals, the oldest first.
+    removals: VecDeque<(RevisionNumber, TargetId)>,
+    /// Revision from which on all removals are kept.
+    removals_from: RevisionNumber,
 }
 
 impl TargetRegistry {
@@ -77,6 +84,7 @@
         for id in missing {
             is_changed |= self.remove(&id, revision, is_settled);
         }
+        // Removals between the two listings are only known as a whole.
         self.revision = revision;
         is_changed
     }
@@ -92,6 +100,7 @@
             .collect();
         for id in &over {
             self.targets.remove(id);
+            self.note_removal(id.clone(), self.revision);
         }
         over
     }
@@ -108,6 +117,27 @@
             .map(|held| &*held.record)
     }
 
+    /// What has changed since a revision, if that is still known.
+    #[must_use]
+    pub fn changes_since(&self, revision: RevisionNumber) -> Option<Vec<RegistryChange>> {
+        if revision < self.removals_from || revision == RevisionNumber::ZERO {
+            return None;
+        }
+        let removals = self.removals.iter().filter(|(at, _)| *at >= revision);
+        let removals = removals.map(|(at, id)| RegistryChange::Removed {
+            id: id.clone(),
+            revision: *at,
+        });
+        let missing = self.targets.iter().filter(|(_, held)| held.is_missing);
+        let missing = missing.map(|(id, _)| RegistryChange::Removed {
+            id: id.clone(),
+            revision: self.revision,
+        });
+        let records = self.listing().filter(|record| record.revision > revision);
+        let puts = records.cloned().map(RegistryChange::Put);
+        Some(removals.chain(missing).chain(puts).collect())
+    }
+
     /// Targets of a service that take work.
     pub fn ready<'a>(
         &'a self,
@@ -180,6 +210,16 @@
             return false;
         }
         self.targets.remove(id);
+        self.note_removal(id.clone(), revision);
         true
     }
+
+    fn note_removal(&mut self, id: TargetId, revision: RevisionNumber) {
+        self.removals.push_back((revision, id));
+        if self.removals.len() > REMOVALS
+            && let Some((forgotten, _)) = self.removals.pop_front()
+        {
+            self.removals_from = forgotten;
+        }
+    }
 }
--- a/crates/gateway/src/peers/gossip_round.rs
+++ b/crates/gateway/src/peers/gossip_round.rs
@@ -51,8 +51,8 @@
                 self.exchange(node, address).await;
             }
             self.rounds += 1;
-            let in_contact = self.shared.contact.borrow().is_answering();
-            let interval = if in_contact && self.shared.is_ready() {
+            let is_current = self.shared.contact.borrow().is_current(self.shared.now());
+            let interval = if is_current && self.shared.is_ready() {
                 USUAL_INTERVAL
             } else {
                 URGENT_INTERVAL
@@ -87,29 +87,8 @@
 
     fn take(&self, reply: GossipReply, address: SocketAddr) {
         let now = self.shared.now();
-        let GossipReply {
-            note,
-            config,
-            targets,
-        } = reply;
-        self.shared.fleet.borrow_mut().merge(note.members, now);
-        if let Some(config) = config {
-            self.shared.adopt(config, "peer");
-        }
-        if let Some(listing) = targets {
-            let mut registry = self.shared.registry.borrow_mut();
-            let changed = registry.replace(listing.records, listing.revision, note.is_settled);
-            drop(registry);
-            if changed {
-                slog::info!(self.shared.log, "targets: Changed.";
-                    "source" => "peer", "peer" => %address,
-                    "revision" => %listing.revision, "settled" => note.is_settled);
-                self.shared.note_changes();
-            }
-        }
-        if note.in_contact {
-            self.shared.contact.borrow_mut().note_confirmation(now);
-        }
+        self.shared.fleet.borrow_mut().merge(reply.members, now);
+        reply.news.apply(&self.shared, &address.to_string(), now);
     }
 
     fn note_failure(&self, node: Option<NodeId>, address: SocketAddr, error: &PeerError) {
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -7,7 +7,9 @@
 mod peer_front;
 
 pub use self::{
-    gossip_message::{GossipNote, GossipReply, PeerAck, TargetListing},
+    gossip_message::{
+        FollowAsk, GossipNote, GossipReply, HoldingNote, NewsReply, PeerAck, TargetNews,
+    },
     gossip_round::GossipRound,
     peer_client::{PeerClient, PeerError},
     peer_front::PeerFront,
@@ -19,3 +21,5 @@
 pub const STAGE_PATH: &str = "/stage";
 /// Path of the news that results are no longer needed.
 pub const FREE_PATH: &str = "/free";
+/// Path of the wait for news.
+pub const FOLLOW_PATH: &str = "/follow";
--- a/crates/gateway/src/peers/peer_front.rs
+++ b/crates/gateway/src/peers/peer_front.rs
@@ -5,11 +5,15 @@
 use serde::{Serialize, de::DeserializeOwned};
 use smol::{Async, Timer};
 
-use super::{FREE_PATH, GOSSIP_PATH, GossipNote, GossipReply, PeerAck, STAGE_PATH};
+use super::{
+    FOLLOW_PATH, FREE_PATH, FollowAsk, GOSSIP_PATH, GossipNote, GossipReply, HoldingNote,
+    NewsReply, PeerAck, STAGE_PATH,
+};
 use crate::{
     http::{BodyReader, HeaderList, HttpStream, RequestHead, ResponseHead, request_framing},
     process::Shared,
     staging::{FreeNote, StageAsk},
+    targets::within,
 };
 
 /// Largest head of a call of another gateway.
@@ -20,6 +24,10 @@
 /// Pause after a failed accept, so that a lack of descriptors doesn't spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Time for which news is collected before it goes to followers. Short against
+/// the bounds on applying it.
+const GROUP_TIME: Duration = Duration::from_millis(20);
+
 /// Answers the calls of other gateways.
 #[derive(Clone, Debug)]
 pub struct PeerFront {
@@ -93,7 +101,10 @@
             path if path == GOSSIP_PATH.as_bytes() => {
                 let note: GossipNote = self.decode(body)?;
                 let now = self.shared.now();
-                let reply = GossipReply::to(&self.shared, &note, now);
+                let reply = GossipReply {
+                    members: self.shared.fleet.borrow().telling(),
+                    news: NewsReply::to(&self.shared, &note.holding, now),
+                };
                 self.shared.fleet.borrow_mut().merge(note.members, now);
                 self.encode(&reply)
             }
@@ -103,6 +114,12 @@
                 let answer = self.shared.desk.run(&self.shared, ask).await;
                 self.encode(&answer)
             }
+            path if path == FOLLOW_PATH.as_bytes() => {
+                let ask: FollowAsk = self.decode(body)?;
+                self.wait_news(&ask).await;
+                let reply = NewsReply::to(&self.shared, &ask.holding, self.shared.now());
+                self.encode(&reply)
+            }
             path if path == FREE_PATH.as_bytes() => {
                 let note: FreeNote = self.decode(body)?;
                 self.shared.desk.free(&self.shared, note);
@@ -112,6 +129,24 @@
         }
     }
 
+    /// Waits until this node holds something newer, or loses its contact to
+    /// the store, or the time is over.
+    async fn wait_news(&self, ask: &FollowAsk) {
+        let news = async {
+            loop {
+                let changed = self.shared.changed.listen();
+                let holding = HoldingNote::of(&self.shared, self.shared.now());
+                if holding.is_newer_than(&ask.holding) || holding.age.is_none() {
+                    break;
+                }
+                changed.await;
+            }
+            // Changes often come in groups.
+            Timer::after(GROUP_TIME).await;
+        };
+        within(ask.wait, news).await;
+    }
+
     fn decode<Message>(&self, body: &[u8]) -> Option<Message>
     where
         Message: DeserializeOwned,
--- a/crates/gateway/src/process/daemon.rs
+++ b/crates/gateway/src/process/daemon.rs
@@ -18,7 +18,7 @@
 use crate::{
     front::CallerFront,
     peers::{GossipRound, PeerFront},
-    store::{FeedReader, StoreFeed},
+    store::NewsDriver,
 };
 
 /// Runs the gateway until it is told to stop.
@@ -82,9 +82,7 @@
     ));
     let writer = lines.clone();
     tasks.spawn(async move { writer.run().await });
-    for feed in [StoreFeed::Config, StoreFeed::Targets] {
-        tasks.spawn(FeedReader::new(Shared::clone(&shared), feed).run());
-    }
+    tasks.spawn(NewsDriver::new(Shared::clone(&shared)).run());
     tasks.spawn(GossipRound::new(Shared::clone(&shared)).run());
     tasks.spawn(PeerFront::new(Shared::clone(&shared)).run(peers));
     tasks.spawn(ReadyFront::new(Shared::clone(&shared)).run(ready));
--- a/crates/gateway/src/process/gateway_state.rs
+++ b/crates/gateway/src/process/gateway_state.rs
@@ -5,6 +5,7 @@
 };
 
 use async_channel::Receiver;
+use event_listener::Event;
 use fastrand::Rng;
 use slog::Logger;
 use verbenahub_core::{
@@ -46,6 +47,8 @@
     pub loads: RefCell<TargetLoads>,
     /// Other gateways.
     pub fleet: RefCell<FleetTable>,
+    /// Told of each change of targets, configuration or contact.
+    pub changed: Event,
     /// Contact to the store.
     pub contact: RefCell<StoreContact>,
     /// Idle connections to targets.
@@ -98,6 +101,7 @@
             config: RefCell::default(),
             registry: RefCell::default(),
             loads: RefCell::default(),
+            changed: Event::new(),
             contact: RefCell::default(),
             channels: ChannelPool::default(),
             peers: PeerClient::default(),
@@ -162,6 +166,7 @@
             .borrow_mut()
             .retain(|id| registry.get(id).is_some());
         self.fleet.borrow_mut().set_active(self.is_ready());
+        self.changed.notify(usize::MAX);
     }
 
     /// Targets of a service that take work.
--- a/crates/gateway/src/store/feed_reader.rs
+++ b/crates/gateway/src/store/feed_reader.rs
@@ -15,7 +15,10 @@
 
 /// How long a watch waits for a change. Bounds the time for which a silent
 /// connection goes unnoticed, within the bound on applying configurations.
-const WATCH_WAIT: TimeSpan = TimeSpan::from_millis(1_500);
+const WATCH_WAIT: TimeSpan = TimeSpan::from_millis(800);
+/// Time for which further changes are let come before the next call. Short
+/// against the bounds on applying them.
+const GROUP_TIME: Duration = Duration::from_millis(100);
 /// First pause after a failed call. Doubles with each further one.
 const FIRST_PAUSE: TimeSpan = TimeSpan::from_millis(100);
 /// Longest pause after a failed call. Refused calls count like others.
@@ -100,6 +103,8 @@
             self.note_answer();
             if !update.events.is_empty() {
                 self.take_events(update.events, update.revision);
+                // Changes often come in groups, and each call is counted.
+                Timer::after(GROUP_TIME).await;
             }
             revision = revision.max(update.revision);
             self.expire();
@@ -231,6 +236,7 @@
         let now = self.shared.now();
         let is_new = self.shared.contact.borrow_mut().note_failure(now);
         if is_new {
+            self.shared.changed.notify(usize::MAX);
             slog::warn!(self.shared.log, "store: Contact lost.";
                 "feed" => self.feed.label(), "error" => %error);
         }
--- a/crates/gateway/src/store/store_client.rs
+++ b/crates/gateway/src/store/store_client.rs
@@ -14,7 +14,7 @@
 const CONNECT_TIMEOUT: TimeSpan = TimeSpan::from_millis(500);
 /// Time for an answer. Longer than the slowest answers that the platform still
 /// calls an answer.
-const ANSWER_TIMEOUT: TimeSpan = TimeSpan::from_millis(1_200);
+const ANSWER_TIMEOUT: TimeSpan = TimeSpan::from_millis(700);
 /// Largest answer: a value of a megabyte in base64, and its surroundings.
 const ANSWER_BYTES: usize = 8 << 20;
 /// Status of a watch whose history is gone.
