--- a/crates/core/src/fleet/fleet_table.rs
+++ b/crates/core/src/fleet/fleet_table.rs
@@ -14,6 +14,8 @@
 /// Time for which a member that didn't answer a call owns no work, unless it
 /// is heard of again.
 const UNREACHED_SPAN: TimeSpan = TimeSpan::from_millis(1_500);
+/// Size against the largest VM from which a node carries work for others.
+const STRONG_SHARE: f64 = 0.5;
 /// Silence after which a member is forgotten.
 const FORGET_SPAN: TimeSpan = TimeSpan::from_secs(60);
 
@@ -117,6 +119,20 @@
         active
     }
 
+    /// Members that carry work for others: those whose VMs are not much smaller
+    /// than the largest. A small VM that collects for a whole service is behind
+    /// at the first burst.
+    #[must_use]
+    pub fn strong(&self, now: ClockTime) -> Vec<(NodeId, f64)> {
+        let mut members = self.active(now);
+        let largest = members
+            .iter()
+            .map(|(_, weight)| *weight)
+            .fold(0.0, f64::max);
+        members.retain(|(_, weight)| *weight >= largest * STRONG_SHARE);
+        members
+    }
+
     /// Number of nodes that seem to live, this one included.
     #[must_use]
     pub fn live_count(&self, now: ClockTime) -> usize {
--- a/crates/core/src/routes/stage_service.rs
+++ b/crates/core/src/routes/stage_service.rs
@@ -1,6 +1,9 @@
 use serde::{Deserialize, Serialize};
 
-use crate::{clock::TimeSpan, units::ByteSize};
+use crate::{clock::TimeSpan, policy::numbers, units::ByteSize};
+
+/// Full calls that may wait before a service counts as behind.
+const BACKLOG_CALLS: f64 = 1.5;
 
 /// How one target of a stage's service works. All figures are published with
 /// the service.
@@ -21,6 +24,13 @@
 }
 
 impl StageService {
+    /// Expected wait above which the service counts as behind: what waits for
+    /// the next calls of all targets is usual.
+    #[must_use]
+    pub fn backlog_limit(&self) -> TimeSpan {
+        numbers::span(self.call_time(self.batch) * BACKLOG_CALLS)
+    }
+
     /// Expected time of a call with `pieces` pieces, in milliseconds.
     #[must_use]
     pub fn call_time(&self, pieces: usize) -> f64 {
--- a/crates/core/src/staging/mod.rs
+++ b/crates/core/src/staging/mod.rs
@@ -6,6 +6,7 @@
 mod held_results;
 mod path_estimate;
 mod piece_end;
+mod queue_backlog;
 mod queue_target;
 mod set_end;
 mod shard_map;
@@ -19,6 +20,7 @@
     graph_progress::GraphProgress,
     path_estimate::PathEstimate,
     piece_end::PieceEnd,
+    queue_backlog::QueueBacklog,
     set_end::{SetEnd, SetFailure},
     shard_map::ShardMap,
     stage_call::{CallNumber, CallPiece, StageCall},
--- a/crates/core/src/staging/stage_queue.rs
+++ b/crates/core/src/staging/stage_queue.rs
@@ -1,14 +1,14 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::{
-    CallEnd, CallNumber, CallPiece, PieceEnd, SetEnd, SetFailure, SetNumber, StageCall,
-    StageRefusal, StageSet,
+    CallEnd, CallNumber, CallPiece, PieceEnd, QueueBacklog, SetEnd, SetFailure, SetNumber,
+    StageCall, StageRefusal, StageSet,
     held_results::{HeldResult, HeldResults},
     queue_target::QueueTarget,
 };
 use crate::{
     clock::{ClockTime, TimeSpan},
-    ids::{TargetId, ZoneName},
+    ids::{PoolName, TargetId, ZoneName},
     policy::numbers,
     routes::StageService,
 };
@@ -30,6 +30,11 @@
 /// Part of a full call's time for which a set waits for a target in the zone
 /// of its results. Longer, and the set would miss a whole round of calls.
 const HOME_PATIENCE: f64 = 0.5;
+/// By how much a set of the next lower rank counts as less urgent. About the
+/// time of a call: in a burst lower ranks are late first.
+const PRIORITY_STEP: TimeSpan = TimeSpan::from_millis(250);
+/// Lowest rank that is told from those below.
+const LOWEST_RANK: u8 = 4;
 /// Longest wait between two looks at a queue in which something waits though a
 /// target is free.
 const LOOK_SPAN: TimeSpan = TimeSpan::from_millis(20);
@@ -66,6 +71,10 @@
 /// then those that can only be late. A set that can't be done before its
 /// deadline is turned away as it arrives.
 ///
+/// A late request that has not begun waits here until the stages after this one
+/// have no backlog. Started earlier, its results would take the room of those
+/// that can be on time, while it waits behind them all the same.
+///
 /// Results take room at their makers until they are freed. A call is made only
 /// where its results find room. The pieces of one set stay together as long as
 /// they fit a call, and go to the zone in which their results will be read
@@ -77,6 +86,8 @@
     sets: BTreeMap<SetNumber, QueuedSet>,
     calls: BTreeMap<CallNumber, RunningCall>,
     held: HeldResults,
+    /// Services with a backlog.
+    clogged: BTreeSet<PoolName>,
     next_set: u64,
     next_call: u64,
     /// Earliest start of the next call that isn't full.
@@ -93,6 +104,7 @@
             sets: BTreeMap::new(),
             calls: BTreeMap::new(),
             held: HeldResults::default(),
+            clogged: BTreeSet::new(),
             next_set: 0,
             next_call: 0,
             next_start: ClockTime::ZERO,
@@ -125,6 +137,19 @@
             .retain(|_, target| target.listed || target.running > 0);
     }
 
+    /// Takes in which services have a backlog.
+    pub fn set_clogged(&mut self, clogged: BTreeSet<PoolName>) {
+        self.clogged = clogged;
+    }
+
+    /// Services that come after sets of this queue.
+    #[must_use]
+    pub fn followers(&self) -> BTreeSet<PoolName> {
+        let sets = self.sets.values();
+        sets.flat_map(|set| set.set.followers.iter().cloned())
+            .collect()
+    }
+
     /// Takes in a set of pieces.
     ///
     /// # Errors
@@ -160,11 +185,25 @@
             .unwrap_or_default()
     }
 
-    /// Time until all that waits is expected to be done.
+    /// How much waits. A new set waits until those before it are done, and not
+    /// less than the first of them has waited, whatever keeps it.
     #[must_use]
-    pub fn backlog(&self, now: ClockTime) -> TimeSpan {
-        let waiting = self.sets.values().map(|set| set.waiting.len()).sum();
-        self.drain_time(waiting, now)
+    pub fn backlog(&self, now: ClockTime) -> QueueBacklog {
+        let least = self.least_end(now);
+        let (mut on_time, mut total) = (0, 0);
+        let mut oldest = TimeSpan::ZERO;
+        for number in self.order(now) {
+            let set = &self.sets[&number];
+            total += set.waiting.len();
+            if set.set.goal_at >= least {
+                on_time += set.waiting.len();
+                oldest = oldest.max(now.since(set.arrived_at));
+            }
+        }
+        QueueBacklog {
+            on_time: self.drain_time(on_time, now).max(oldest),
+            total: self.drain_time(total, now).max(oldest),
+        }
     }
 
     /// Pieces that wait for a call.
@@ -179,17 +218,13 @@
         self.targets.get(target).map(|target| &target.zone)
     }
 
-    /// Sets whose time is over before any of their pieces was sent. They end
-    /// here.
+    /// Sets that wait and can't be done in their time any more. They end here.
     pub fn take_late(&mut self, now: ClockTime) -> Vec<SetEnd> {
-        let is_late = |set: &QueuedSet| {
-            let untouched = set.waiting.len() == set.results.len();
-            untouched && set.set.dead_at <= now
-        };
+        let least = self.least_end(now);
         let late: Vec<SetNumber> = self
             .sets
             .iter()
-            .filter(|(_, set)| is_late(set))
+            .filter(|(_, set)| !set.waiting.is_empty() && set.set.dead_at < least)
             .map(|(number, _)| *number)
             .collect();
         late.into_iter()
@@ -213,11 +248,14 @@
         for result in self.held.take_expired(now) {
             self.give_room(&result.maker, result.bytes);
         }
-        let waiting = self.waiting_pieces();
+        let order = self.order(now);
+        let waiting: usize = order
+            .iter()
+            .map(|number| self.sets[number].waiting.len())
+            .sum();
         if waiting == 0 || (waiting < self.service.batch && now < self.next_start) {
             return None;
         }
-        let order = self.order(now);
         let target = order
             .iter()
             .find_map(|number| self.pick_target(*number, now))?;
@@ -508,33 +546,51 @@
         pieces
     }
 
-    /// Sets in the order in which they get places in calls.
+    /// When a call that starts now ends at the earliest.
+    fn least_end(&self, now: ClockTime) -> ClockTime {
+        now + numbers::span(self.service.call_time(1))
+    }
+
+    /// Sets in the order in which they get places in calls. Sets that are held
+    /// back are left out.
     fn order(&self, now: ClockTime) -> Vec<SetNumber> {
-        let least = now + numbers::span(self.service.call_time(1));
+        let least = self.least_end(now);
         let mut order: Vec<_> = self
             .sets
             .iter()
             .filter(|(_, set)| !set.waiting.is_empty())
-            .map(|(number, set)| {
+            .filter_map(|(number, set)| {
                 let is_late = set.set.goal_at < least;
+                // Sets that were begun are finished first: half a set is of
+                // no use to anyone.
+                let is_whole = set.waiting.len() == set.results.len();
+                if is_late && is_whole && set.set.refusable && self.is_clogged(&set.set) {
+                    return None;
+                }
                 let due = if is_late {
                     set.set.dead_at
                 } else {
                     set.set.goal_at
                 };
-                // Sets that were begun are finished first: half a set is of
-                // no use to anyone.
-                let is_whole = set.waiting.len() == set.results.len();
-                ((is_late, is_whole, due), *number)
+                let rank = u64::from(set.set.priority.min(LOWEST_RANK));
+                let due = due + PRIORITY_STEP * rank;
+                // Late sets of requests that have begun hold results.
+                let is_new = is_late && set.set.refusable;
+                Some(((is_late, is_whole, is_new, due), *number))
             })
             .collect();
         order.sort_unstable();
         order.into_iter().map(|(_, number)| number).collect()
     }
 
+    fn is_clogged(&self, set: &StageSet) -> bool {
+        let mut followers = set.followers.iter();
+        followers.any(|service| self.clogged.contains(service))
+    }
+
     /// Pieces that wait and come before a new set.
     fn pieces_ahead(&self, set: &StageSet, now: ClockTime) -> usize {
-        let least = now + numbers::span(self.service.call_time(1));
+        let least = self.least_end(now);
         let is_late = set.goal_at < least;
         let comes_before = |other: &&QueuedSet| {
             let other_late = other.set.goal_at < least;
--- a/crates/core/src/staging/stage_set.rs
+++ b/crates/core/src/staging/stage_set.rs
@@ -1,4 +1,7 @@
-use crate::{clock::ClockTime, ids::ZoneName};
+use crate::{
+    clock::ClockTime,
+    ids::{PoolName, ZoneName},
+};
 
 /// Identifies a set of pieces at its queue.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -14,6 +17,10 @@
     /// Zone in which the results will be read, if their size makes that
     /// matter.
     pub home: Option<ZoneName>,
+    /// Rank of the request against others, 0 is the highest.
+    pub priority: u8,
+    /// Services of the stages that come after this one.
+    pub followers: Vec<PoolName>,
     /// When the results must be there for the request to meet its goal.
     pub goal_at: ClockTime,
     /// When the results must be there for the request to be served at all.
--- a/crates/gateway/src/front/active_request.rs
+++ b/crates/gateway/src/front/active_request.rs
@@ -23,6 +23,9 @@
     pub body: Bytes,
     /// When its first byte was read.
     pub received: ClockTime,
+    /// When the caller first sent it, as far as its deadline tells: a caller
+    /// that comes back after a refusal waits for less than others.
+    pub first_sent: ClockTime,
     /// When the caller or the operator wants it to be over.
     pub limit_at: ClockTime,
     /// Route.
@@ -52,6 +55,6 @@
     /// When an answer has its full value no longer.
     #[must_use]
     pub fn goal_at(&self) -> ClockTime {
-        self.received + self.route.goal
+        self.first_sent + self.route.goal
     }
 }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -23,3 +23,5 @@
 pub const FREE_PATH: &str = "/free";
 /// Path of the wait for news.
 pub const FOLLOW_PATH: &str = "/follow";
+/// Path of the question whether a node is there.
+pub const PROBE_PATH: &str = "/probe";
--- a/crates/gateway/src/peers/peer_client.rs
+++ b/crates/gateway/src/peers/peer_client.rs
@@ -53,12 +53,47 @@
         ask: &Ask,
         timeout: TimeSpan,
     ) -> Result<Answer, PeerError>
+    where
+        Ask: Serialize,
+        Answer: DeserializeOwned,
+    {
+        let stream = self.open(address).await?;
+        self.call_on(stream, address, path, ask, timeout).await
+    }
+
+    /// Sends a message on a new connection and waits for its answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no answer in time.
+    pub async fn call_anew<Ask, Answer>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        ask: &Ask,
+        timeout: TimeSpan,
+    ) -> Result<Answer, PeerError>
+    where
+        Ask: Serialize,
+        Answer: DeserializeOwned,
+    {
+        let stream = connect(address).await?;
+        self.call_on(stream, address, path, ask, timeout).await
+    }
+
+    async fn call_on<Ask, Answer>(
+        &self,
+        mut stream: HttpStream,
+        address: SocketAddr,
+        path: &str,
+        ask: &Ask,
+        timeout: TimeSpan,
+    ) -> Result<Answer, PeerError>
     where
         Ask: Serialize,
         Answer: DeserializeOwned,
     {
         let body = rmp_serde::to_vec(ask).map_err(|error| PeerError::Codec(error.to_string()))?;
-        let mut stream = self.open(address).await?;
         let exchange = exchange(&mut stream, address, path, &body);
         let answer = within(timeout, exchange).await;
         let (status, body) = answer.ok_or(PeerError::Silent)??;
@@ -75,9 +110,7 @@
                 return Ok(stream);
             }
         }
-        let connected = within(CONNECT_TIMEOUT, HttpStream::connect(address)).await;
-        let stream = connected.ok_or(PeerError::Silent)?;
-        stream.map_err(|error| PeerError::Unreachable(error.to_string()))
+        connect(address).await
     }
 
     fn take(&self, address: SocketAddr) -> Option<HttpStream> {
@@ -98,6 +131,13 @@
     }
 }
 
+async fn connect(address: SocketAddr) -> Result<HttpStream, PeerError> {
+    let connected = within(CONNECT_TIMEOUT, HttpStream::connect(address)).await;
+    let no_connection = || PeerError::Unreachable("no connection in time".to_owned());
+    let stream = connected.ok_or_else(no_connection)?;
+    stream.map_err(|error| PeerError::Unreachable(error.to_string()))
+}
+
 async fn exchange(
     stream: &mut HttpStream,
     address: SocketAddr,
--- a/crates/gateway/src/peers/peer_front.rs
+++ b/crates/gateway/src/peers/peer_front.rs
@@ -7,7 +7,7 @@
 
 use super::{
     FOLLOW_PATH, FREE_PATH, FollowAsk, GOSSIP_PATH, GossipNote, GossipReply, HoldingNote,
-    NewsReply, PeerAck, STAGE_PATH,
+    NewsReply, PROBE_PATH, PeerAck, STAGE_PATH,
 };
 use crate::{
     http::{BodyReader, HeaderList, HttpStream, RequestHead, ResponseHead, request_framing},
@@ -120,6 +120,7 @@
                 let reply = NewsReply::to(&self.shared, &ask.holding, self.shared.now());
                 self.encode(&reply)
             }
+            path if path == PROBE_PATH.as_bytes() => self.encode(&PeerAck),
             path if path == FREE_PATH.as_bytes() => {
                 let note: FreeNote = self.decode(body)?;
                 self.shared.desk.free(&self.shared, note);
--- a/crates/gateway/src/process/gateway_state.rs
+++ b/crates/gateway/src/process/gateway_state.rs
@@ -1,5 +1,6 @@
 use std::{
     cell::{Cell, RefCell},
+    collections::HashMap,
     rc::Rc,
     sync::Arc,
 };
@@ -9,11 +10,11 @@
 use fastrand::Rng;
 use slog::Logger;
 use verbenahub_core::{
-    clock::ClockTime,
+    clock::{ClockTime, TimeSpan},
     fleet::{FleetMember, FleetTable},
     ids::{IncarnationNumber, PoolName},
     policy::retry::TrafficBudget,
-    routes::RouteConfig,
+    routes::{RouteConfig, RouteSpec},
     settings::GatewayProfile,
     targets::{StoreContact, TargetLoads, TargetRecord, TargetRegistry},
 };
@@ -47,6 +48,8 @@
     pub loads: RefCell<TargetLoads>,
     /// Other gateways.
     pub fleet: RefCell<FleetTable>,
+    /// Rises with each change of targets or configuration.
+    pub changes: Cell<u64>,
     /// Told of each change of targets, configuration or contact.
     pub changed: Event,
     /// Contact to the store.
@@ -71,6 +74,8 @@
     pub stopping: Cell<bool>,
     /// Closed when idle connections of callers end.
     pub ending: Receiver<()>,
+    /// Longest deadline that callers of each route have sent.
+    deadlines: RefCell<HashMap<String, TimeSpan>>,
     rng: RefCell<Rng>,
 }
 
@@ -101,6 +106,7 @@
             config: RefCell::default(),
             registry: RefCell::default(),
             loads: RefCell::default(),
+            changes: Cell::new(0),
             changed: Event::new(),
             contact: RefCell::default(),
             channels: ChannelPool::default(),
@@ -110,6 +116,7 @@
             stages: StageClient::default(),
             work: WorkCounter::default(),
             stopping: Cell::new(false),
+            deadlines: RefCell::default(),
             rng: RefCell::new(Rng::new()),
             profile,
             clock,
@@ -166,6 +173,7 @@
             .borrow_mut()
             .retain(|id| registry.get(id).is_some());
         self.fleet.borrow_mut().set_active(self.is_ready());
+        self.changes.set(self.changes.get() + 1);
         self.changed.notify(usize::MAX);
     }
 
@@ -176,6 +184,15 @@
         registry.ready(service).map(Arc::clone).collect()
     }
 
+    /// Takes note of a caller's deadline. Returns the longest that callers of
+    /// the route have sent, which is that of first attempts.
+    pub fn note_deadline(&self, route: &RouteSpec, deadline: TimeSpan) -> TimeSpan {
+        let mut deadlines = self.deadlines.borrow_mut();
+        let longest = deadlines.entry(route.name.clone()).or_insert(deadline);
+        *longest = deadline.max(*longest);
+        *longest
+    }
+
     /// A random number.
     #[must_use]
     pub fn random(&self) -> u64 {
--- a/crates/gateway/src/staging/stage_client.rs
+++ b/crates/gateway/src/staging/stage_client.rs
@@ -1,14 +1,16 @@
-use std::{cell::RefCell, collections::HashMap};
+use std::{cell::RefCell, collections::HashMap, net::SocketAddr};
 
+use futures_lite::FutureExt;
+use smol::Timer;
 use verbenahub_core::{
     clock::{ClockTime, TimeSpan},
     ids::{NodeId, PoolName},
-    staging::ShardMap,
+    staging::{QueueBacklog, ShardMap},
 };
 
 use super::{StageAnswer, StageAsk};
 use crate::{
-    peers::{PeerError, STAGE_PATH},
+    peers::{PROBE_PATH, PeerAck, PeerError, STAGE_PATH},
     process::Shared,
 };
 
@@ -16,6 +18,10 @@
 const OFFERS: u32 = 3;
 /// Age at which a backlog says nothing any more.
 const BACKLOG_LIFETIME: TimeSpan = TimeSpan::from_millis(1_500);
+/// Time for which a collector that has work may be silent before it is probed.
+const SILENCE_INTERVAL: TimeSpan = TimeSpan::from_millis(500);
+/// Time for its answer to the probe.
+const PROBE_TIMEOUT: TimeSpan = TimeSpan::from_millis(400);
 /// Time added to a set's own for the way of the answer.
 const ANSWER_SLACK: TimeSpan = TimeSpan::from_millis(200);
 
@@ -23,18 +29,20 @@
 /// there.
 #[derive(Debug, Default)]
 pub struct StageClient {
-    backlogs: RefCell<HashMap<PoolName, (TimeSpan, ClockTime)>>,
+    backlogs: RefCell<HashMap<PoolName, (QueueBacklog, ClockTime)>>,
+    /// When each collector has answered last.
+    heard: RefCell<HashMap<NodeId, ClockTime>>,
 }
 
 impl StageClient {
     /// What waits at a service's collectors, as they said last.
     #[must_use]
-    pub fn backlog(&self, service: &PoolName, now: ClockTime) -> TimeSpan {
+    pub fn backlog(&self, service: &PoolName, now: ClockTime) -> QueueBacklog {
         let backlogs = self.backlogs.borrow();
         let known = backlogs.get(service);
         let fresh = known.filter(|(_, at)| now.since(*at) < BACKLOG_LIFETIME);
-        fresh.map_or(TimeSpan::ZERO, |(backlog, at)| {
-            backlog.saturating_sub(now.since(*at))
+        fresh.map_or_else(QueueBacklog::default, |(backlog, at)| {
+            backlog.after(now.since(*at))
         })
     }
 
@@ -42,7 +50,7 @@
     #[must_use]
     pub fn collector(shared: &Shared, service: &PoolName, request: &str) -> Option<NodeId> {
         let count = shared.ready_targets(service).len();
-        let members = shared.fleet.borrow().active(shared.now());
+        let members = shared.fleet.borrow().strong(shared.now());
         let shards = ShardMap::new(service, count, &members);
         shards.owner_of_request(request).cloned()
     }
@@ -84,12 +92,26 @@
             return Ok((service, shared.desk.run(shared, ask).await));
         };
         let timeout = ask.dead_left + ANSWER_SLACK;
-        let answer = shared.peers.call(address, STAGE_PATH, &ask, timeout).await;
+        let call = shared.peers.call(address, STAGE_PATH, &ask, timeout);
+        let lost = async {
+            self.wait_silence(shared, &owner, address).await;
+            Err(PeerError::Unreachable("silent".to_owned()))
+        };
+        let answer = call.or(lost).await;
         let end = if answer.is_ok() { "answered" } else { "failed" };
         let calls = &shared.metrics.peer_calls;
         calls.with_label_values(&["stage", end]).inc();
         match answer {
-            Ok(answer) => Ok((service, answer)),
+            Ok(answer) => {
+                let mut heard = self.heard.borrow_mut();
+                heard.insert(owner, shared.now());
+                Ok((service, answer))
+            }
+            // The collector lives; it has no place for the set in its time.
+            Err(PeerError::Silent) => {
+                let reason = "not done in time".to_owned();
+                Ok((service, StageAnswer::Failed { reason }))
+            }
             Err(error) => {
                 slog::warn!(shared.log, "stage: Collector did not answer.";
                     "request" => &ask.request, "service" => %service, "collector" => %owner,
@@ -101,6 +123,27 @@
         }
     }
 
+    /// Waits until a collector seems to be gone: it has answered nothing for a
+    /// while and takes no new connection.
+    async fn wait_silence(&self, shared: &Shared, owner: &NodeId, address: SocketAddr) {
+        loop {
+            Timer::after(SILENCE_INTERVAL.into()).await;
+            let now = shared.now();
+            let heard = self.heard.borrow().get(owner).copied();
+            if heard.is_some_and(|heard| now.since(heard) < SILENCE_INTERVAL) {
+                continue;
+            }
+            let probe: Result<PeerAck, PeerError> = shared
+                .peers
+                .call_anew(address, PROBE_PATH, &PeerAck, PROBE_TIMEOUT)
+                .await;
+            if probe.is_err() {
+                return;
+            }
+            self.heard.borrow_mut().insert(owner.clone(), shared.now());
+        }
+    }
+
     fn note(&self, shared: &Shared, answer: &(PoolName, StageAnswer), begun: ClockTime) {
         let now = shared.now();
         let (service, answer) = answer;
--- a/crates/gateway/src/staging/stage_desk.rs
+++ b/crates/gateway/src/staging/stage_desk.rs
@@ -9,9 +9,12 @@
 use futures_lite::FutureExt;
 use smol::Timer;
 use verbenahub_core::{
-    clock::TimeSpan,
+    clock::{ClockTime, TimeSpan},
     ids::{PoolName, TargetId},
-    staging::{CallEnd, CallNumber, SetEnd, SetFailure, SetNumber, ShardMap, StageQueue, StageSet},
+    staging::{
+        CallEnd, CallNumber, QueueBacklog, SetEnd, SetFailure, SetNumber, ShardMap, StageQueue,
+        StageSet,
+    },
 };
 
 use super::{FreeNote, StageAnswer, StageAsk, stage_call_run::StageCallRun};
@@ -21,6 +24,12 @@
 /// doesn't spin.
 const LEAST_WAIT: Duration = Duration::from_millis(1);
 
+/// How long the share of targets counts as known. Members come and go within
+/// seconds.
+const TARGETS_LIFETIME: TimeSpan = TimeSpan::from_millis(200);
+/// How long a backlog counts as known. Short against the time of a call.
+const BACKLOG_LIFETIME: TimeSpan = TimeSpan::from_millis(20);
+
 /// A request that waits for its pieces.
 #[derive(Debug)]
 struct SetWaiter {
@@ -36,6 +45,9 @@
     waiters: RefCell<HashMap<SetNumber, SetWaiter>>,
     wake: (Sender<()>, Receiver<()>),
     is_driven: Cell<bool>,
+    /// Changes that the targets were taken from, and when.
+    targets_of: Cell<Option<(u64, ClockTime)>>,
+    backlog: Cell<Option<(QueueBacklog, ClockTime)>>,
 }
 
 /// The queues of all stages that this node collects pieces for.
@@ -74,19 +86,21 @@
             pieces: ask.pieces,
             piece_bytes: ask.piece_bytes,
             home: ask.home.clone(),
+            priority: ask.priority,
+            followers: ask.followers.clone(),
             goal_at: now + ask.goal_left,
             dead_at: now + ask.dead_left,
             refusable: ask.refusable,
         };
         let offered = queue.queue.borrow_mut().offer(set, now);
-        let backlog = queue.queue.borrow().backlog(now);
+        let backlog = queue.backlog(now);
         let waiting = queue.queue.borrow().waiting_pieces();
         let number = match offered {
             Ok(number) => number,
             Err(refusal) => {
                 slog::info!(shared.log, "stage: Set refused.";
                     "request" => &ask.request, "service" => %ask.service, "stage" => ask.stage,
-                    "pieces" => ask.pieces, "waiting_pieces" => waiting, "backlog" => %backlog,
+                    "pieces" => ask.pieces, "waiting_pieces" => waiting, "backlog" => %backlog.on_time, "total_backlog" => %backlog.total,
                     "dead_left" => %ask.dead_left, "retry_after" => %refusal.retry_after);
                 return StageAnswer::Refused {
                     retry_after: refusal.retry_after,
@@ -97,7 +111,7 @@
         slog::info!(shared.log, "stage: Set queued.";
             "request" => &ask.request, "service" => %ask.service, "stage" => ask.stage,
             "set" => number.0, "pieces" => ask.pieces, "waiting_pieces" => waiting,
-            "backlog" => %backlog, "goal_left" => %ask.goal_left);
+            "backlog" => %backlog.on_time, "total_backlog" => %backlog.total, "goal_left" => %ask.goal_left);
         let (done, result) = async_channel::bounded(1);
         let ask = Rc::new(ask);
         queue
@@ -113,7 +127,7 @@
         match result.recv().await {
             Ok(Ok(results)) => StageAnswer::Done {
                 results,
-                backlog: queue.queue.borrow().backlog(shared.now()),
+                backlog: queue.backlog(shared.now()),
             },
             Ok(Err(failure)) => StageAnswer::Failed {
                 reason: format!("{failure:?}"),
@@ -145,6 +159,8 @@
                 waiters: RefCell::default(),
                 wake: async_channel::bounded(1),
                 is_driven: Cell::new(false),
+                targets_of: Cell::new(None),
+                backlog: Cell::new(None),
             })
         });
         queue.queue.borrow_mut().set_service(spec);
@@ -164,6 +180,7 @@
         loop {
             self.update_targets(&shared);
             let now = shared.now();
+            self.update_clogged(&shared, now);
             let late = self.queue.borrow_mut().take_late(now);
             self.deliver(&shared, late);
             loop {
@@ -193,6 +210,19 @@
         }
     }
 
+    /// What waits, as of some milliseconds ago at most.
+    fn backlog(&self, now: ClockTime) -> QueueBacklog {
+        let known = self.backlog.get();
+        if let Some((backlog, at)) = known
+            && now.since(at) < BACKLOG_LIFETIME
+        {
+            return backlog;
+        }
+        let backlog = self.queue.borrow().backlog(now);
+        self.backlog.set(Some((backlog, now)));
+        backlog
+    }
+
     /// Takes in the end of a call.
     pub(super) fn finish(&self, shared: &Shared, call: CallNumber, end: CallEnd) {
         let now = shared.now();
@@ -247,13 +277,38 @@
         let _ = self.wake.0.try_send(());
     }
 
+    /// Takes over which of the stages after this one have a backlog, as their
+    /// collectors said last.
+    fn update_clogged(&self, shared: &Shared, now: ClockTime) {
+        let followers = self.queue.borrow().followers();
+        let clogged = followers.into_iter().filter(|service| {
+            let backlog = shared.stages.backlog(service, now);
+            let spec = shared
+                .config()
+                .and_then(|config| config.stage_service(service));
+            spec.is_some_and(|spec| backlog.total > spec.backlog_limit())
+        });
+        let clogged = clogged.collect();
+        self.queue.borrow_mut().set_clogged(clogged);
+    }
+
     /// Takes over the targets that this node collects for. A node that was
     /// asked though it sees no share of its own uses all of them.
     fn update_targets(&self, shared: &Shared) {
+        let now = shared.now();
+        let changes = shared.changes.get();
+        let is_known = self
+            .targets_of
+            .get()
+            .is_some_and(|(known, at)| known == changes && now.since(at) < TARGETS_LIFETIME);
+        if is_known {
+            return;
+        }
+        self.targets_of.set(Some((changes, now)));
         let targets = shared.ready_targets(&self.service);
         let ids: Vec<TargetId> = targets.iter().map(|record| record.id.clone()).collect();
         let fleet = shared.fleet.borrow();
-        let members = fleet.active(shared.now());
+        let members = fleet.strong(now);
         let shards = ShardMap::new(&self.service, ids.len(), &members);
         let mut owned = shards.targets_of(&shared.profile.node, &ids);
         if owned.is_empty() {
@@ -266,9 +321,9 @@
 }
 
 impl StageAnswer {
-    /// Time until all that waits at the collector will be done, if it said so.
+    /// What waits at the collector, if it said so.
     #[must_use]
-    pub const fn backlog(&self) -> Option<TimeSpan> {
+    pub const fn backlog(&self) -> Option<QueueBacklog> {
         match self {
             Self::Done { backlog, .. } | Self::Refused { backlog, .. } => Some(*backlog),
             Self::Failed { .. } => None,
--- a/crates/gateway/src/staging/stage_flow.rs
+++ b/crates/gateway/src/staging/stage_flow.rs
@@ -3,7 +3,7 @@
 use smol::Task;
 use verbenahub_core::{
     clock::{ClockTime, TimeSpan},
-    ids::ZoneName,
+    ids::{PoolName, ZoneName},
     routes::{RouteConfig, RouteSpec},
     staging::{GraphProgress, PathEstimate},
 };
@@ -122,7 +122,7 @@
         PathEstimate::new(&self.route.stages, self.pieces, |stage| {
             let service = self.config.stage_service(&stage.service)?;
             let backlog = self.shared.stages.backlog(&stage.service, now);
-            Some((service, backlog))
+            Some((service, backlog.on_time))
         })
     }
 
@@ -162,6 +162,8 @@
             pieces: progress.pieces(stage),
             piece_bytes: spec.result_bytes,
             home: self.home_of(progress, stage),
+            priority: self.route.priority,
+            followers: self.followers(stage),
             input,
             goal_left: now.until(self.goal_at - after),
             dead_left: now.until(self.dead_at - after),
@@ -169,6 +171,19 @@
         }
     }
 
+    /// Services of all stages that need a stage's results, directly or not.
+    fn followers(&self, stage: usize) -> Vec<PoolName> {
+        let mut reached = vec![stage];
+        let mut services = Vec::new();
+        for (place, spec) in self.route.stages.iter().enumerate() {
+            if spec.after.iter().any(|before| reached.contains(before)) {
+                reached.push(place);
+                services.push(spec.service.clone());
+            }
+        }
+        services
+    }
+
     /// Zone in which the pieces of a stage are best made. Each piece reads all
     /// results of the stages before, so these decide if there are any; else the
     /// zone in which the request itself will read them.
--- a/crates/gateway/src/staging/stage_message.rs
+++ b/crates/gateway/src/staging/stage_message.rs
@@ -2,6 +2,7 @@
 use verbenahub_core::{
     clock::TimeSpan,
     ids::{PoolName, ZoneName},
+    staging::QueueBacklog,
 };
 use verbenahub_platform::PieceInput;
 
@@ -20,6 +21,10 @@
     pub piece_bytes: u64,
     /// Zone in which the results will be read, if that matters.
     pub home: Option<ZoneName>,
+    /// Rank of the request against others, 0 is the highest.
+    pub priority: u8,
+    /// Services of the stages that come after this one.
+    pub followers: Vec<PoolName>,
     /// What they are made from.
     pub input: PieceInput,
     /// Time until the results are needed for the request to meet its goal.
@@ -37,15 +42,15 @@
     Done {
         /// Their names, by number of piece.
         results: Vec<String>,
-        /// Time until all that waits at the collector will be done.
-        backlog: TimeSpan,
+        /// What waits at the collector.
+        backlog: QueueBacklog,
     },
     /// There is no time for the pieces. None of them was begun.
     Refused {
         /// When there will be.
         retry_after: TimeSpan,
-        /// Time until all that waits at the collector will be done.
-        backlog: TimeSpan,
+        /// What waits at the collector.
+        backlog: QueueBacklog,
     },
     /// The pieces could not be produced.
     Failed {
--- a/crates/gateway/src/store/news_driver.rs
+++ b/crates/gateway/src/store/news_driver.rs
@@ -60,7 +60,7 @@
     /// Reads or follows until the future is dropped.
     pub async fn run(mut self) {
         loop {
-            let members = self.shared.fleet.borrow().active(self.shared.now());
+            let members = self.shared.fleet.borrow().strong(self.shared.now());
             let plan = ReaderPlan::new(&self.shared.profile.node, &members);
             if plan.rank == ReaderRank::Reader || self.is_first_seed(&plan) {
                 self.read("a reader by rank");
@@ -108,12 +108,18 @@
             .sources
             .iter()
             .filter_map(|node| fleet.address_of(node));
-        let addresses: Vec<SocketAddr> = known.collect();
+        let mut addresses: Vec<SocketAddr> = known.collect();
         if addresses.is_empty() {
             let own = self.shared.profile.peers;
             let seeds = self.shared.profile.seeds.iter().copied();
             return seeds.filter(|seed| *seed != own).collect();
         }
+        if addresses.len() > FIRST_SOURCES {
+            let rest = addresses.len() - FIRST_SOURCES;
+            let turn = usize::try_from(self.shared.random() % 64).unwrap_or_default();
+            addresses[FIRST_SOURCES..].rotate_left(turn % rest);
+        }
+        addresses.truncate(ROUND_SOURCES);
         addresses
     }
 
