Hold late requests back before they begin; keep the room's books by the maker's word

Ruled out: strict order of ranks (lower ones starve), refusing what can only be late (served late is worth more to callers than a refusal).

--- a/crates/core/src/routes/stage_service.rs
+++ b/crates/core/src/routes/stage_service.rs
@@ -3,7 +3,7 @@
 use crate::{clock::TimeSpan, policy::numbers, units::ByteSize};
 
 /// Full calls that may wait before a service counts as behind.
-const BACKLOG_CALLS: f64 = 1.5;
+const BACKLOG_CALLS: f64 = 0.75;
 
 /// How one target of a stage's service works. All figures are published with
 /// the service.
--- a/crates/core/src/staging/graph_progress.rs
+++ b/crates/core/src/staging/graph_progress.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use crate::{ids::PoolName, routes::GraphStage};
+use crate::{clock::ClockTime, ids::PoolName, routes::GraphStage};
 
 /// How far the stages of one request have come.
 #[derive(Clone, Debug)]
@@ -9,6 +9,8 @@
     pieces: Vec<u32>,
     results: Vec<Option<Vec<String>>>,
     started: Vec<bool>,
+    /// When the results of each stage expire at their makers.
+    expiries: Vec<Option<ClockTime>>,
 }
 
 impl GraphProgress {
@@ -26,6 +28,7 @@
             .collect();
         Some(Self {
             started: vec![false; stages.len()],
+            expiries: vec![None; stages.len()],
             pieces: pieces.to_vec(),
             results,
             stages,
@@ -67,9 +70,19 @@
         before.flat_map(|before| self.results_sized(*before))
     }
 
-    /// Takes in the results of a stage.
-    pub fn finish(&mut self, stage: usize, results: Vec<String>) {
+    /// Takes in the results of a stage and when they expire.
+    pub fn finish(&mut self, stage: usize, results: Vec<String>, expires: ClockTime) {
         self.results[stage] = Some(results);
+        self.expiries[stage] = Some(expires);
+    }
+
+    /// When the first of the results that are still needed expires.
+    #[must_use]
+    pub fn next_expiry(&self) -> Option<ClockTime> {
+        let stages = self.results.iter().zip(&self.expiries);
+        let held = stages
+            .filter(|(results, _)| results.as_ref().is_some_and(|results| !results.is_empty()));
+        held.filter_map(|(_, expiry)| *expiry).min()
     }
 
     /// Whether all stages are done.
--- a/crates/core/src/staging/stage_queue.rs
+++ b/crates/core/src/staging/stage_queue.rs
@@ -201,8 +201,8 @@
             }
         }
         QueueBacklog {
-            on_time: self.drain_time(on_time, now).max(oldest),
-            total: self.drain_time(total, now).max(oldest),
+            on_time: self.wait_time(on_time, now).max(oldest),
+            total: self.wait_time(total, now).max(oldest),
         }
     }
 
@@ -363,7 +363,11 @@
             }
             PieceEnd::Late => Some(self.fail(piece.set, SetFailure::Late)),
             PieceEnd::InputGone => Some(self.fail(piece.set, SetFailure::InputGone)),
-            PieceEnd::NoRoom | PieceEnd::Failed => self.retry(&[piece], now).pop(),
+            PieceEnd::NoRoom => {
+                self.requeue(piece);
+                None
+            }
+            PieceEnd::Failed => self.retry(&[piece], now).pop(),
         }
     }
 
@@ -546,9 +550,10 @@
         pieces
     }
 
-    /// When a call that starts now ends at the earliest.
+    /// When a call that starts now is expected to end, filled with what waits.
     fn least_end(&self, now: ClockTime) -> ClockTime {
-        now + numbers::span(self.service.call_time(1))
+        let pieces = self.waiting_pieces().clamp(1, self.service.batch);
+        now + numbers::span(self.service.call_time(pieces))
     }
 
     /// Sets in the order in which they get places in calls. Sets that are held
@@ -607,17 +612,27 @@
 
     /// Expected time until `pieces` pieces are done by the targets that work.
     fn drain_time(&self, pieces: usize, now: ClockTime) -> TimeSpan {
+        let last = pieces.clamp(1, self.service.batch);
+        self.wait_time(pieces.saturating_sub(last), now)
+            + numbers::span(self.service.call_time(last))
+    }
+
+    /// Expected time until a call starts that comes after `pieces` pieces.
+    fn wait_time(&self, pieces: usize, now: ClockTime) -> TimeSpan {
         let places = self.open_places(now);
         if places <= 0.0 {
             return LONGEST_PAUSE;
         }
-        let calls = pieces.div_ceil(self.service.batch.max(1));
         let full_ms = self.service.call_time(self.service.batch);
-        let last_ms = self.service.call_time(pieces.min(self.service.batch));
-        // The calls under way end on average after half of their time.
-        let busy = numbers::count(self.calls.len()).min(places) / places;
-        let rounds = (numbers::count(calls) / places - 1.0).max(0.0);
-        numbers::span(full_ms * rounds + full_ms * 0.5 * busy + last_ms)
+        let running = numbers::count(self.calls.len());
+        // The next of the calls under way ends after its share of their time.
+        let until_free = if running < places {
+            0.0
+        } else {
+            full_ms / places
+        };
+        let calls = numbers::count(pieces / self.service.batch.max(1));
+        numbers::span(until_free + full_ms * calls / places)
     }
 
     /// Calls that the targets can work on at the same time, counted by pace.
--- a/crates/gateway/src/staging/result_desk.rs
+++ b/crates/gateway/src/staging/result_desk.rs
@@ -20,7 +20,7 @@
 /// Time over which results are collected before the news of them goes on.
 /// Short against the time of a call, which may wait for their room; long
 /// against the time between requests.
-const COLLECT_TIME: Duration = Duration::from_millis(15);
+const COLLECT_TIME: Duration = Duration::from_millis(8);
 /// Time for an answer to the news.
 const ANSWER_TIMEOUT: TimeSpan = TimeSpan::from_millis(1_000);
 
@@ -30,7 +30,7 @@
 #[derive(Debug, Default)]
 pub struct ResultDesk {
     for_collectors: RefCell<HashMap<(NodeId, PoolName), Vec<String>>>,
-    for_makers: RefCell<HashMap<SocketAddr, Vec<String>>>,
+    for_makers: RefCell<HashMap<(SocketAddr, PoolName), Vec<String>>>,
 }
 
 impl ResultDesk {
@@ -55,20 +55,20 @@
     }
 
     /// Tells the targets that hold results that these are no longer needed.
-    pub fn tell_makers(&self, shared: &Shared, names: Vec<String>) {
+    pub fn tell_makers(&self, shared: &Shared, service: &PoolName, names: Vec<String>) {
         let mut waiting = self.for_makers.borrow_mut();
         for name in names {
             let Some(maker) = result_maker(&name) else {
                 slog::warn!(shared.log, "stage: Result without a maker."; "result" => name);
                 continue;
             };
-            let collected = waiting.entry(maker).or_default();
+            let collected = waiting.entry((maker, service.clone())).or_default();
             collected.push(name);
             if collected.len() == 1 {
-                let task = Shared::clone(shared);
+                let (task, service) = (Shared::clone(shared), service.clone());
                 shared.tasks.spawn(async move {
                     Timer::after(COLLECT_TIME).await;
-                    task.results.send(&task, maker).await;
+                    task.results.send(&task, maker, service).await;
                 });
             }
         }
@@ -91,18 +91,27 @@
         if let Err(error) = told {
             slog::debug!(shared.log, "stage: Collector not told of results.";
                 "collector" => %owner, "error" => error);
-            self.tell_makers(shared, note.names);
+            self.tell_makers(shared, &note.service, note.names);
         }
     }
 
-    async fn send(&self, shared: &Shared, maker: SocketAddr) {
-        let names = self.for_makers.borrow_mut().remove(&maker);
+    /// Tells a target and then, as there is room now, the queue.
+    async fn send(&self, shared: &Shared, maker: SocketAddr, service: PoolName) {
+        let names = self
+            .for_makers
+            .borrow_mut()
+            .remove(&(maker, service.clone()));
         let names = names.unwrap_or_default();
+        self.tell(shared, maker, &names).await;
+        shared.desk.release(&service, &names);
+    }
+
+    async fn tell(&self, shared: &Shared, maker: SocketAddr, names: &[String]) {
         // Results don't outlive their maker.
         let Some(record) = find(shared, maker) else {
             return;
         };
-        let body = match encode_free(&names) {
+        let body = match encode_free(names) {
             Ok(body) => Bytes::from(body),
             Err(error) => {
                 slog::error!(shared.log, "stage: News not encoded."; "error" => %error);
--- a/crates/gateway/src/staging/stage_desk.rs
+++ b/crates/gateway/src/staging/stage_desk.rs
@@ -145,7 +145,18 @@
             Some(queue) => queue.free(shared, note.names),
             // Another node has collected them; their makers are told all the
             // same.
-            None => shared.results.tell_makers(shared, note.names),
+            None => shared
+                .results
+                .tell_makers(shared, &note.service, note.names),
+        }
+    }
+
+    /// Takes note that results have left their makers.
+    pub(super) fn release(&self, service: &PoolName, names: &[String]) {
+        let queue = self.queues.borrow().get(service).map(Rc::clone);
+        if let Some(queue) = queue {
+            queue.queue.borrow_mut().free(names);
+            queue.wake();
         }
     }
 
@@ -231,14 +242,12 @@
         self.wake();
     }
 
-    /// Takes note that results are no longer needed.
+    /// Gives up results that are no longer needed.
     pub(super) fn free(&self, shared: &Shared, names: Vec<String>) {
         if names.is_empty() {
             return;
         }
-        self.queue.borrow_mut().free(&names);
-        shared.results.tell_makers(shared, names);
-        self.wake();
+        shared.results.tell_makers(shared, &self.service, names);
     }
 
     /// What a set was asked for, unless its request is gone.
--- a/crates/gateway/src/staging/stage_flow.rs
+++ b/crates/gateway/src/staging/stage_flow.rs
@@ -16,6 +16,10 @@
 /// way of smaller ones costs less than waiting for a target.
 const LARGE_RESULTS: u64 = 1_000_000;
 
+/// Part of a result's lifetime that is left unused: it began at the target
+/// before the news of it was here.
+const EXPIRY_MARGIN: TimeSpan = TimeSpan::from_millis(300);
+
 /// Why the stages of a request brought no results.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StageFailure {
@@ -98,7 +102,8 @@
             };
             match answer {
                 StageAnswer::Done { results, .. } => {
-                    guard.progress.finish(stage, results);
+                    let expires = self.expiry(stage);
+                    guard.progress.finish(stage, results, expires);
                     guard.free_spent();
                 }
                 StageAnswer::Refused { retry_after, .. } => {
@@ -149,6 +154,8 @@
     ) -> StageAsk {
         let now = self.shared.now();
         let after = estimate.after(stage);
+        let expiry = progress.next_expiry();
+        let dead_at = expiry.map_or(self.dead_at, |expiry| expiry.min(self.dead_at));
         let spec = &self.route.stages[stage];
         let input = if spec.after.is_empty() {
             PieceInput::Key(self.key.to_owned())
@@ -166,11 +173,20 @@
             followers: self.followers(stage),
             input,
             goal_left: now.until(self.goal_at - after),
-            dead_left: now.until(self.dead_at - after),
+            dead_left: now.until(dead_at - after),
             refusable: is_first,
         }
     }
 
+    /// When the results of a stage that ends now should have been read.
+    fn expiry(&self, stage: usize) -> ClockTime {
+        let now = self.shared.now();
+        let service = self.config.stage_service(&self.route.stages[stage].service);
+        service.map_or(self.dead_at, |service| {
+            now + service.result_lifetime.saturating_sub(EXPIRY_MARGIN)
+        })
+    }
+
     /// Services of all stages that need a stage's results, directly or not.
     fn followers(&self, stage: usize) -> Vec<PoolName> {
         let mut reached = vec![stage];
