--- /dev/null
+++ b/crates/core/tests/gateway_fleet.rs
@@ -0,0 +1,205 @@
+//! Who collects, who reads, and how far nodes agree on it.
+
+use std::collections::BTreeSet;
+
+use fastrand::Rng;
+use verbenahub_core::{
+    clock::{ClockTime, TimeSpan},
+    fleet::{FleetMember, FleetTable, ReaderPlan, ReaderRank},
+    ids::{IncarnationNumber, NodeId, PoolName, TargetId},
+    staging::ShardMap,
+};
+
+fn node(number: usize) -> NodeId {
+    NodeId::new(&format!("n{number}")).expect("an id")
+}
+
+fn member(number: usize, heartbeat: u64, weight: f64) -> FleetMember {
+    FleetMember {
+        node: node(number),
+        address: format!("10.0.0.{number}:80").parse().expect("an address"),
+        incarnation: IncarnationNumber::new(1),
+        heartbeat,
+        weight,
+        active: true,
+    }
+}
+
+fn members(count: usize) -> Vec<(NodeId, f64)> {
+    (0..count).map(|number| (node(number), 0.25)).collect()
+}
+
+fn at(millis: u64) -> ClockTime {
+    ClockTime::from_millis(millis)
+}
+
+#[test]
+fn few_nodes_read_the_store_whatever_the_size_of_the_fleet() {
+    for count in [9, 69, 300] {
+        let members = members(count);
+        let ranks: Vec<ReaderRank> = members
+            .iter()
+            .map(|(node, _)| ReaderPlan::new(node, &members).rank)
+            .collect();
+        let of = |rank| ranks.iter().filter(|other| **other == rank).count();
+        assert_eq!(of(ReaderRank::Reader), 4);
+        assert_eq!(of(ReaderRank::Standby), count.min(12) - 4);
+    }
+}
+
+#[test]
+fn every_node_names_the_same_readers_first() {
+    let members = members(69);
+    let first = |own: usize| ReaderPlan::new(&node(own), &members).sources[0].clone();
+    let named: BTreeSet<NodeId> = (0..69).map(first).collect();
+    // The first of all follows the second.
+    assert!(named.len() <= 2, "{named:?}");
+}
+
+#[test]
+fn node_alone_has_nobody_to_follow() {
+    let plan = ReaderPlan::new(&node(1), &[]);
+    assert_eq!(plan.rank, ReaderRank::Follower);
+    assert!(plan.sources.is_empty());
+}
+
+#[test]
+fn each_target_has_one_collector_and_each_request_one_of_them() {
+    let members = members(9);
+    let service = PoolName::new("ledger").expect("a name");
+    let targets: Vec<TargetId> = (0..18)
+        .map(|number| TargetId::new(&format!("t{number:02}")).expect("an id"))
+        .collect();
+    let map = ShardMap::new(&service, targets.len(), &members);
+    let mut seen = Vec::new();
+    for owner in members.iter().map(|(node, _)| node) {
+        seen.extend(map.targets_of(owner, &targets));
+    }
+    seen.sort();
+    assert_eq!(seen, targets);
+    for request in 0..100 {
+        let owner = map
+            .owner_of_request(&format!("r{request}"))
+            .expect("an owner");
+        assert!(!map.targets_of(owner, &targets).is_empty());
+    }
+}
+
+#[test]
+fn service_of_a_few_targets_has_one_collector() {
+    let service = PoolName::new("ledger").expect("a name");
+    let map = ShardMap::new(&service, 5, &members(9));
+    assert_eq!(map.len(), 1);
+    let nobody = ShardMap::new(&service, 5, &[]);
+    assert!(nobody.is_empty() && nobody.owner_of_request("r").is_none());
+}
+
+#[test]
+fn lost_node_moves_only_its_own_shares() {
+    let (all, mut left) = (members(9), members(9));
+    left.remove(4);
+    for number in 0..50 {
+        let service = PoolName::new(&format!("s{number}")).expect("a name");
+        let owner = |members: &[(NodeId, f64)]| {
+            let map = ShardMap::new(&service, 1, members);
+            map.owner_of_request("r").cloned().expect("an owner")
+        };
+        let before = owner(&all);
+        if before != node(4) {
+            assert_eq!(owner(&left), before);
+        }
+    }
+}
+
+#[test]
+fn small_vms_do_not_work_for_others_beside_large_ones() {
+    let mut table = FleetTable::new(member(0, 0, 0.12));
+    table.merge(
+        vec![member(1, 1, 0.5), member(2, 1, 0.12), member(3, 1, 0.3)],
+        at(0),
+    );
+    let strong: Vec<NodeId> = table
+        .strong(at(0))
+        .into_iter()
+        .map(|(node, _)| node)
+        .collect();
+    assert_eq!(strong, [node(1), node(3)]);
+    assert_eq!(table.active(at(0)).len(), 4);
+}
+
+#[test]
+fn silent_member_owns_nothing_until_it_is_heard_of_again() {
+    let mut table = FleetTable::new(member(0, 0, 0.25));
+    table.merge(vec![member(1, 5, 0.25)], at(0));
+    assert_eq!(table.active(at(4_000)).len(), 2);
+    // The same heartbeat, told by others, is no sign of life.
+    table.merge(vec![member(1, 5, 0.25)], at(4_000));
+    assert_eq!(table.active(at(5_000)).len(), 1);
+    table.merge(vec![member(1, 6, 0.25)], at(5_000));
+    assert_eq!(table.active(at(5_000)).len(), 2);
+    table.note_unreached(&node(1), at(5_000));
+    assert_eq!(table.active(at(5_100)).len(), 1);
+    assert_eq!(table.active(at(6_600)).len(), 2);
+}
+
+#[test]
+fn later_run_of_a_node_counts_whatever_its_heartbeat() {
+    let mut table = FleetTable::new(member(0, 0, 0.25));
+    table.merge(vec![member(1, 50, 0.25)], at(0));
+    let restarted = FleetMember {
+        incarnation: IncarnationNumber::new(2),
+        active: false,
+        ..member(1, 0, 0.25)
+    };
+    table.merge(vec![restarted], at(100));
+    table.merge(vec![member(1, 99, 0.25)], at(200));
+    assert_eq!(
+        table.active(at(200)).len(),
+        1,
+        "its earlier run takes nothing back"
+    );
+}
+
+/// Gossip in rounds: each node tells one other what it knows.
+fn rounds_until_all_know(count: usize, seed: u64) -> usize {
+    let mut rng = Rng::with_seed(seed);
+    let mut tables: Vec<FleetTable> = (0..count)
+        .map(|number| FleetTable::new(member(number, 0, 0.25)))
+        .collect();
+    for round in 1..50 {
+        let now = at(round * 1_000);
+        for own in 0..count {
+            let told = tables[own].round(now);
+            let other = tables[own].random_other(&mut rng);
+            // A node that knows nobody asks a seed.
+            let peer = other.map_or(0, |(node, _)| node.as_str()[1..].parse().expect("a number"));
+            if peer == own {
+                continue;
+            }
+            let answer = tables[peer].telling();
+            tables[peer].merge(told, now);
+            tables[own].merge(answer, now);
+        }
+        if tables.iter().all(|table| table.live_count(now) == count) {
+            return usize::try_from(round).expect("small");
+        }
+    }
+    panic!("not all nodes know each other");
+}
+
+#[test]
+fn gossip_reaches_all_nodes_within_a_few_rounds() {
+    for seed in 0..20 {
+        assert!(rounds_until_all_know(9, seed) <= 5);
+        assert!(rounds_until_all_know(69, seed) <= 8);
+    }
+}
+
+#[test]
+fn forgotten_member_is_told_to_nobody() {
+    let mut table = FleetTable::new(member(0, 0, 0.25));
+    table.merge(vec![member(1, 1, 0.25)], at(0));
+    assert_eq!(table.round(at(1_000)).len(), 2);
+    let later = at(0) + TimeSpan::from_secs(61);
+    assert_eq!(table.round(later).len(), 1);
+}
--- /dev/null
+++ b/crates/core/tests/gateway_routes.rs
@@ -0,0 +1,167 @@
+//! Routes, keys, shares of services, and what may be sent again.
+
+use std::sync::Arc;
+
+use assert_matches::assert_matches;
+use verbenahub_core::{
+    clock::TimeSpan,
+    ids::{PoolName, TargetId, WorkspaceId},
+    routes::{
+        KeyVerdict, RouteConfig, RouteKind, RouteSpec, SendLedger, SplitShare, WorkspaceKeys,
+    },
+};
+
+fn pool(name: &str) -> PoolName {
+    PoolName::new(name).expect("a name")
+}
+
+fn route(name: &str, prefix: &str) -> RouteSpec {
+    RouteSpec {
+        name: name.to_owned(),
+        host: "shop.example".to_owned(),
+        prefix: prefix.to_owned(),
+        kind: RouteKind::Idempotent,
+        timeout: TimeSpan::from_secs(1),
+        goal: TimeSpan::from_millis(100),
+        priority: 0,
+        split: vec![SplitShare {
+            service: pool("only"),
+            weight: 1,
+        }],
+        attempts: 2,
+        stages: Vec::new(),
+        public: false,
+        resumable: false,
+        gap_limit: TimeSpan::ZERO,
+    }
+}
+
+fn config(routes: Vec<RouteSpec>) -> RouteConfig {
+    let mut config = RouteConfig::default();
+    for route in routes {
+        let routes = config.hosts.entry(route.host.clone()).or_default();
+        routes.push(Arc::new(route));
+    }
+    config
+}
+
+#[test]
+fn longest_prefix_of_the_host_wins_byte_for_byte() {
+    let config = config(vec![
+        route("a", "/"),
+        route("b", "/a/"),
+        route("c", "/a/b/"),
+    ]);
+    for (host, path, expected) in [
+        ("shop.example", "/x", Some("a")),
+        ("SHOP.example:8080", "/a/x", Some("b")),
+        ("shop.example", "/a/b/c", Some("c")),
+        ("shop.example", "/a/b", Some("b")),
+        ("shop.example", "/a", Some("a")),
+        ("shop.example", "/A/", Some("a")),
+        ("shop.example", "/x/../a/b/", Some("a")),
+        ("shop.example", "/%61/", Some("a")),
+        ("other.example", "/a/", None),
+        ("", "/a/", None),
+    ] {
+        let found = config.find(host, path.as_bytes());
+        assert_eq!(
+            found.map(|route| route.name.as_str()),
+            expected,
+            "{host}{path}"
+        );
+    }
+}
+
+#[test]
+fn split_follows_its_weights() {
+    let split = |service, weight| SplitShare {
+        service: pool(service),
+        weight,
+    };
+    let route = RouteSpec {
+        split: vec![split("a", 90), split("none", 0), split("b", 10)],
+        ..route("r", "/")
+    };
+    for (draw, expected) in [
+        (0.0, "a"),
+        (0.899, "a"),
+        (0.9, "b"),
+        (0.999, "b"),
+        (1.0, "b"),
+    ] {
+        assert_eq!(route.pick_service(draw), Some(&pool(expected)), "{draw}");
+    }
+}
+
+#[test]
+fn keys_are_known_by_their_holder_only() {
+    let holder = WorkspaceId::new("inn").expect("an id");
+    let mut keys = WorkspaceKeys::required();
+    keys.insert(b"secret", holder.clone());
+    assert_eq!(keys.verdict(Some(b"secret")), KeyVerdict::Holder(&holder));
+    assert_eq!(keys.verdict(Some(b"Secret")), KeyVerdict::Unknown);
+    assert_eq!(keys.verdict(None), KeyVerdict::Unknown);
+    assert_eq!(WorkspaceKeys::default().verdict(None), KeyVerdict::Open);
+}
+
+fn target() -> TargetId {
+    TargetId::new("t").expect("an id")
+}
+
+#[test]
+fn only_what_has_certainly_not_run_can_be_proved() {
+    let mut ledger = SendLedger::default();
+    assert!(ledger.not_run().is_some());
+    ledger.send(target());
+    assert!(ledger.not_run().is_none(), "the answer is open");
+    ledger.note_not_run();
+    assert!(ledger.not_run().is_some(), "the target has said so");
+    ledger.send(target());
+    ledger.note_ran();
+    assert!(ledger.not_run().is_none());
+    ledger.send(target());
+    ledger.note_not_run();
+    assert!(ledger.not_run().is_none(), "it may have run before");
+}
+
+#[test]
+fn nothing_runs_twice_that_must_not() {
+    let mut ledger = SendLedger::default();
+    ledger.send(target());
+    assert!(!ledger.may_send(true, 9), "the answer is open");
+    ledger.note_ran();
+    assert!(!ledger.may_send(false, 9));
+    assert!(ledger.may_send(true, 2));
+    ledger.send(target());
+    ledger.note_ran();
+    assert!(!ledger.may_send(true, 2), "the attempts are used up");
+}
+
+#[test]
+fn target_that_was_not_reached_is_no_attempt() {
+    let mut ledger = SendLedger::default();
+    ledger.send(target());
+    ledger.note_not_sent();
+    assert!(ledger.may_send(false, 1));
+    assert_eq!((ledger.sends(), ledger.tries()), (0, 1));
+    assert!(ledger.not_run().is_some());
+}
+
+#[test]
+fn callers_wait_for_a_stream_by_the_longest_of_three_spans() {
+    let with = |goal, gap| RouteSpec {
+        goal: TimeSpan::from_millis(goal),
+        gap_limit: TimeSpan::from_millis(gap),
+        ..route("r", "/")
+    };
+    for (goal, gap, expected) in [(100, 100, 2_000), (800, 250, 3_200), (100, 300, 2_400)] {
+        let limit = with(goal, gap).first_event_limit();
+        assert_eq!(limit, TimeSpan::from_millis(expected));
+    }
+}
+
+#[test]
+fn unknown_host_has_no_route() {
+    assert_matches!(RouteConfig::default().find("shop.example", b"/"), None);
+}
--- /dev/null
+++ b/crates/core/tests/stage_queue.rs
@@ -0,0 +1,490 @@
+//! The queue of a stage at the worst load: bursts above what calls of one
+//! request each could carry, slow and failing targets, little room.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use assert_matches::assert_matches;
+use proptest::{
+    prelude::*,
+    test_runner::{RngAlgorithm, RngSeed},
+};
+use verbenahub_core::{
+    clock::{ClockTime, TimeSpan},
+    ids::{PoolName, TargetId, ZoneName},
+    routes::StageService,
+    staging::{CallEnd, PieceEnd, SetFailure, SetNumber, StageCall, StageQueue, StageSet},
+    units::ByteSize,
+};
+
+/// A stage like the slowest one of the users: a call costs 150 ms, a piece
+/// little.
+const SERVICE: StageService = StageService {
+    slots: 1,
+    batch: 44,
+    call_ms: 150.0,
+    piece_ms: 2.9,
+    room: ByteSize::from_bytes(7_900_000),
+    result_lifetime: TimeSpan::from_secs(4),
+};
+const TARGETS: usize = 5;
+const PIECES: u32 = 8;
+
+fn target(number: usize) -> TargetId {
+    TargetId::new(&format!("t{number}")).expect("an id")
+}
+
+fn zone(number: usize) -> ZoneName {
+    ZoneName::new(&format!("z{number}")).expect("a zone")
+}
+
+fn queue(service: StageService, targets: usize) -> StageQueue {
+    let mut queue = StageQueue::new(service);
+    queue.set_targets((0..targets).map(|number| (target(number), zone(number % 3), 1)));
+    queue
+}
+
+fn set(now: ClockTime, goal_ms: u64, dead_ms: u64) -> StageSet {
+    StageSet {
+        pieces: PIECES,
+        piece_bytes: 0,
+        home: None,
+        priority: 0,
+        followers: Vec::new(),
+        goal_at: now + TimeSpan::from_millis(goal_ms),
+        dead_at: now + TimeSpan::from_millis(dead_ms),
+        refusable: true,
+    }
+}
+
+fn results(call: &StageCall) -> CallEnd {
+    let names = call.pieces.iter().map(|piece| {
+        let name = format!("{}/{}.{}", call.target, piece.set.0, piece.piece);
+        PieceEnd::Held(name)
+    });
+    CallEnd::Answered(names.collect())
+}
+
+fn at(millis: u64) -> ClockTime {
+    ClockTime::from_millis(millis)
+}
+
+/// What a replayed load came to.
+#[derive(Debug, Default)]
+struct ReplayEnd {
+    on_time: usize,
+    late: usize,
+    refused: usize,
+    failed: usize,
+    calls: usize,
+    pieces: usize,
+}
+
+/// Replays arrivals, in milliseconds, on targets that take the published time.
+/// `batch` bounds a call; 8 is one request a call.
+fn replay(arrivals: &[u64], batch: usize, goal_ms: u64, dead_ms: u64) -> ReplayEnd {
+    let mut queue = queue(StageService { batch, ..SERVICE }, TARGETS);
+    let mut end = ReplayEnd::default();
+    let mut goals: BTreeMap<SetNumber, ClockTime> = BTreeMap::new();
+    let mut running: Vec<(ClockTime, StageCall)> = Vec::new();
+    let last = arrivals.last().copied().unwrap_or_default() + dead_ms + 1_000;
+    let mut next = arrivals.iter().peekable();
+    for millis in 0..last {
+        let now = at(millis);
+        while next.next_if(|arrival| **arrival <= millis).is_some() {
+            let set = set(now, goal_ms, dead_ms);
+            match queue.offer(set.clone(), now) {
+                Ok(number) => drop(goals.insert(number, set.goal_at)),
+                Err(_) => end.refused += 1,
+            }
+        }
+        let (done, going): (Vec<_>, Vec<_>) = running.into_iter().partition(|call| call.0 <= now);
+        running = going;
+        let finished = done.into_iter().flat_map(|(_, call)| {
+            let answer = results(&call);
+            queue.finish(call.number, answer, now)
+        });
+        let finished: Vec<_> = finished.collect();
+        for set in finished.into_iter().chain(queue.take_late(now)) {
+            match set.outcome {
+                Ok(_) if goals[&set.set] >= now => end.on_time += 1,
+                Ok(_) => end.late += 1,
+                Err(_) => end.failed += 1,
+            }
+        }
+        while let Some(call) = queue.plan(now) {
+            end.calls += 1;
+            end.pieces += call.pieces.len();
+            let took = SERVICE.call_time(call.pieces.len()).ceil();
+            #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+            let ends = now + TimeSpan::from_millis(took as u64);
+            running.push((ends, call));
+        }
+    }
+    end
+}
+
+/// Arrivals at a rate for some seconds, evenly jittered by a fixed generator.
+fn arrivals(per_second: u64, seconds: u64) -> Vec<u64> {
+    let mut rng = fastrand::Rng::with_seed(7);
+    let mut times: Vec<u64> = (0..per_second * seconds)
+        .map(|_| rng.u64(0..seconds * 1_000))
+        .collect();
+    times.sort_unstable();
+    times
+}
+
+#[test]
+fn shared_calls_carry_a_calm_day_that_single_ones_cannot() {
+    let load = arrivals(51, 10);
+    let shared = replay(&load, SERVICE.batch, 800, 4_000);
+    let single = replay(&load, 8, 800, 4_000);
+    assert_eq!(shared.on_time, load.len());
+    // Five targets end 28.9 such calls a second; the last ones 4 s after the
+    // load.
+    assert!(single.on_time + single.late <= 29 * 14, "{single:?}");
+    assert!(single.on_time + single.late < load.len() * 8 / 10);
+}
+
+#[test]
+fn burst_near_capacity_is_served_on_time_for_the_most_part() {
+    // 90 requests a second are nine tenths of what full calls can carry.
+    let load = arrivals(90, 6);
+    let end = replay(&load, SERVICE.batch, 1_000, 4_000);
+    assert!(end.on_time * 100 >= load.len() * 95, "{end:?}");
+    assert_eq!(end.failed, 0, "{end:?}");
+}
+
+#[test]
+fn burst_above_capacity_serves_what_can_be_on_time_and_ends_the_rest() {
+    let load = arrivals(150, 6);
+    let end = replay(&load, SERVICE.batch, 1_000, 4_000);
+    let total = end.on_time + end.late + end.refused + end.failed;
+    assert_eq!(total, load.len(), "{end:?}");
+    // Full calls carry about 99 requests a second.
+    assert!(end.on_time >= 6 * 70, "{end:?}");
+    // Calls are nearly full, those before and after the burst included.
+    assert!(end.pieces >= end.calls * SERVICE.batch * 8 / 10, "{end:?}");
+}
+
+#[test]
+fn sets_that_can_be_on_time_go_before_late_ones() {
+    let mut queue = queue(SERVICE, 1);
+    let now = at(1_000);
+    let late = queue.offer(set(now, 10, 9_000), now).expect("time");
+    let on_time: Vec<SetNumber> = (0..5)
+        .map(|_| queue.offer(set(now, 900, 9_000), now).expect("time"))
+        .collect();
+    let call = queue.plan(now).expect("a call");
+    let called: BTreeSet<SetNumber> = call.pieces.iter().map(|piece| piece.set).collect();
+    assert!(on_time.iter().all(|number| called.contains(number)));
+    assert!(!called.contains(&late));
+}
+
+#[test]
+fn late_set_waits_until_the_stages_after_it_are_clear() {
+    let next = PoolName::new("billing").expect("a name");
+    let mut queue = queue(SERVICE, TARGETS);
+    let now = at(1_000);
+    let late = StageSet {
+        followers: vec![next.clone()],
+        ..set(now, 10, 9_000)
+    };
+    queue.set_clogged(BTreeSet::from([next]));
+    queue.offer(late.clone(), now).expect("time");
+    assert_eq!(queue.plan(now), None);
+    // One that has begun holds results elsewhere and goes on.
+    let begun = StageSet {
+        refusable: false,
+        ..late
+    };
+    let begun = queue.offer(begun, now).expect("time");
+    let call = queue.plan(now).expect("a call");
+    assert!(call.pieces.iter().all(|piece| piece.set == begun));
+    queue.set_clogged(BTreeSet::new());
+    assert!(queue.plan(now + TimeSpan::from_secs(1)).is_some());
+}
+
+#[test]
+fn higher_rank_goes_first_in_a_burst() {
+    let mut queue = queue(SERVICE, 1);
+    let now = at(1_000);
+    for _ in 0..6 {
+        let low = StageSet {
+            priority: 2,
+            ..set(now, 900, 9_000)
+        };
+        queue.offer(low, now).expect("time");
+    }
+    let high = queue.offer(set(now, 1_000, 9_000), now).expect("time");
+    let call = queue.plan(now).expect("a call");
+    assert_eq!(call.pieces[0].set, high);
+}
+
+#[test]
+fn set_without_time_is_refused_at_once_with_a_time_to_come_back() {
+    let mut queue = queue(SERVICE, 1);
+    let now = at(1_000);
+    while queue.offer(set(now, 500, 3_000), now).is_ok() {}
+    let refusal = queue.offer(set(now, 500, 3_000), now);
+    assert_matches!(refusal, Err(refusal) if !refusal.retry_after.is_zero());
+    // What has begun elsewhere is taken all the same.
+    let begun = StageSet {
+        refusable: false,
+        ..set(now, 500, 3_000)
+    };
+    assert!(queue.offer(begun, now).is_ok());
+}
+
+#[test]
+fn calls_keep_to_the_room_of_their_target() {
+    let service = StageService {
+        batch: 10,
+        room: ByteSize::from_bytes(58_000_000),
+        ..SERVICE
+    };
+    let mut queue = queue(service, 1);
+    let large = |now| StageSet {
+        pieces: 5,
+        piece_bytes: 3_000_000,
+        ..set(now, 5_000, 20_000)
+    };
+    for _ in 0..6 {
+        queue.offer(large(at(0)), at(0)).expect("time");
+    }
+    let mut held = Vec::new();
+    let mut now = at(0);
+    // 19 results fit: two sets, then one.
+    for expected in [10, 5] {
+        let call = queue.plan(now).expect("a call");
+        assert_eq!(call.pieces.len(), expected);
+        now = now + TimeSpan::from_millis(300);
+        let answer = results(&call);
+        if let CallEnd::Answered(ends) = &answer {
+            held.extend(ends.iter().filter_map(|end| match end {
+                PieceEnd::Held(name) => Some(name.clone()),
+                _ => None,
+            }));
+        }
+        queue.finish(call.number, answer, now);
+        now = now + TimeSpan::from_millis(100);
+    }
+    assert_matches!(queue.plan(now), Some(call) if call.pieces.len() == 4);
+    assert_eq!(queue.plan(now), None);
+    queue.free(&held);
+    now = now + TimeSpan::from_millis(1);
+    assert_eq!(queue.plan(now), None, "the target is busy");
+}
+
+#[test]
+fn results_that_nobody_freed_give_their_room_back_when_they_expire() {
+    let service = StageService {
+        room: ByteSize::from_bytes(8_000),
+        ..SERVICE
+    };
+    let mut queue = queue(service, 1);
+    let full = |now| StageSet {
+        piece_bytes: 1_000,
+        ..set(now, 9_000, 20_000)
+    };
+    queue.offer(full(at(0)), at(0)).expect("time");
+    queue.offer(full(at(0)), at(0)).expect("time");
+    let call = queue.plan(at(0)).expect("a call");
+    queue.finish(call.number, results(&call), at(200));
+    assert_eq!(queue.plan(at(400)), None);
+    assert_eq!(queue.next_time(at(400)), Some(at(420)));
+    assert!(queue.plan(at(4_300)).is_some());
+}
+
+#[test]
+fn sets_stay_whole_and_go_to_the_zone_of_their_inputs() {
+    let mut queue = queue(SERVICE, TARGETS);
+    let now = at(0);
+    let home = StageSet {
+        home: Some(zone(1)),
+        ..set(now, 900, 9_000)
+    };
+    for _ in 0..2 {
+        queue.offer(home.clone(), now).expect("time");
+    }
+    let call = queue.plan(now).expect("a call");
+    assert_eq!(queue.zone_of(&call.target), Some(&zone(1)));
+    assert_eq!(call.pieces.len(), 16);
+}
+
+#[test]
+fn set_whose_zone_is_busy_goes_elsewhere_after_a_while() {
+    let mut queue = queue(SERVICE, 1);
+    let now = at(0);
+    let away = StageSet {
+        home: Some(zone(2)),
+        ..set(now, 2_000, 9_000)
+    };
+    queue.offer(away, now).expect("time");
+    assert_eq!(queue.plan(now), None);
+    assert!(queue.plan(at(150)).is_some());
+}
+
+#[test]
+fn failed_call_is_repeated_elsewhere_and_not_without_end() {
+    let mut queue = queue(SERVICE, 3);
+    let number = queue.offer(set(at(0), 900, 60_000), at(0)).expect("time");
+    let mut tried = BTreeSet::new();
+    let mut now = at(0);
+    let mut ends = Vec::new();
+    while ends.is_empty() {
+        let call = queue.plan(now).expect("a call");
+        tried.insert(call.target.clone());
+        ends = queue.finish(call.number, CallEnd::Failed, now);
+        now = now + TimeSpan::from_millis(100);
+    }
+    assert_eq!(tried.len(), 3);
+    assert_matches!(&ends[..], [end] if end.set == number && end.outcome == Err(SetFailure::Failed));
+}
+
+#[test]
+fn refused_call_and_missing_room_do_not_count_as_failures() {
+    let mut queue = queue(SERVICE, 1);
+    queue.offer(set(at(0), 900, 60_000), at(0)).expect("time");
+    let mut now = at(0);
+    for round in 0..10 {
+        let call = queue.plan(now).expect("a call");
+        let end = if round % 2 == 0 {
+            CallEnd::Refused
+        } else {
+            CallEnd::Answered(vec![PieceEnd::NoRoom; call.pieces.len()])
+        };
+        assert_eq!(queue.finish(call.number, end, now), Vec::new());
+        now = now + TimeSpan::from_millis(200);
+    }
+}
+
+#[test]
+fn slow_target_gets_calls_only_when_the_others_cannot_carry_the_load() {
+    let mut queue = queue(SERVICE, 2);
+    let mut now = at(0);
+    // The first target turns slow: its calls take five times as long.
+    for _ in 0..8 {
+        queue.offer(set(now, 9_000, 60_000), now).expect("time");
+        let call = queue.plan(now).expect("a call");
+        let took = if call.target == target(0) { 900 } else { 180 };
+        now = now + TimeSpan::from_millis(took);
+        queue.finish(call.number, results(&call), now);
+    }
+    queue.offer(set(now, 9_000, 60_000), now).expect("time");
+    let call = queue.plan(now).expect("a call");
+    assert_eq!(call.target, target(1));
+    queue.offer(set(now, 9_000, 60_000), now).expect("time");
+    now = now + TimeSpan::from_millis(100);
+    assert_eq!(queue.plan(now), None, "little waits: the slow one rests");
+    for _ in 0..8 {
+        queue.offer(set(now, 9_000, 60_000), now).expect("time");
+    }
+    assert_matches!(queue.plan(now), Some(call) if call.target == target(0));
+}
+
+#[test]
+fn results_of_a_cancelled_set_are_handed_back() {
+    let mut queue = queue(SERVICE, 1);
+    let number = queue.offer(set(at(0), 900, 9_000), at(0)).expect("time");
+    let call = queue.plan(at(0)).expect("a call");
+    assert_eq!(queue.cancel(number), Vec::<String>::new());
+    let ends = queue.finish(call.number, results(&call), at(200));
+    let unused: usize = ends.iter().map(|end| end.unused.len()).sum();
+    assert_eq!(unused, call.pieces.len());
+}
+
+/// What may happen to a queue.
+#[derive(Clone, Copy, Debug)]
+enum QueueMove {
+    Offer { pieces: u32, goal: u64, dead: u64 },
+    Cancel(usize),
+    Finish { call: usize, how: u8 },
+    Targets(usize),
+    Pass(u64),
+}
+
+fn moves() -> impl Strategy<Value = QueueMove> {
+    prop_oneof![
+        4 => (1..12_u32, 1..2_000_u64, 1..6_000_u64)
+            .prop_map(|(pieces, goal, dead)| QueueMove::Offer { pieces, goal, dead }),
+        1 => (0..8_usize).prop_map(QueueMove::Cancel),
+        4 => (0..4_usize, 0..5_u8).prop_map(|(call, how)| QueueMove::Finish { call, how }),
+        1 => (0..4_usize).prop_map(QueueMove::Targets),
+        3 => (1..400_u64).prop_map(QueueMove::Pass),
+    ]
+}
+
+fn end_of(call: &StageCall, how: u8) -> CallEnd {
+    let answer = |end: PieceEnd| CallEnd::Answered(vec![end; call.pieces.len()]);
+    match how {
+        0 | 1 => results(call),
+        2 => CallEnd::Refused,
+        3 => CallEnd::Failed,
+        _ => answer(PieceEnd::NoRoom),
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 256,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(0x5eed_0002),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Each set ends once, with a result for each of its own pieces, whatever
+    /// happens to calls and targets.
+    #[test]
+    fn every_set_ends_once_with_its_own_results(moves in prop::collection::vec(moves(), 1..120)) {
+        let mut queue = queue(SERVICE, 3);
+        let mut open: BTreeMap<SetNumber, u32> = BTreeMap::new();
+        let mut calls: Vec<StageCall> = Vec::new();
+        let mut now = at(0);
+        for step in moves {
+            let mut ends = Vec::new();
+            match step {
+                QueueMove::Offer { pieces, goal, dead } => {
+                    let set = StageSet { pieces, ..set(now, goal, dead) };
+                    if let Ok(number) = queue.offer(set, now) {
+                        open.insert(number, pieces);
+                    }
+                }
+                QueueMove::Cancel(place) => {
+                    if let Some(number) = open.keys().nth(place).copied() {
+                        open.remove(&number);
+                        queue.cancel(number);
+                    }
+                }
+                QueueMove::Finish { call, how } if call < calls.len() => {
+                    let call = calls.remove(call);
+                    ends = queue.finish(call.number, end_of(&call, how), now);
+                }
+                QueueMove::Finish { .. } => {}
+                QueueMove::Targets(count) => {
+                    queue.set_targets((0..count).map(|number| (target(number), zone(0), 1)));
+                }
+                QueueMove::Pass(millis) => now = now + TimeSpan::from_millis(millis),
+            }
+            ends.extend(queue.take_late(now));
+            while let Some(call) = queue.plan(now) {
+                prop_assert!(call.pieces.len() <= SERVICE.batch && !call.pieces.is_empty());
+                let same_target = calls.iter().filter(|other| other.target == call.target);
+                prop_assert_eq!(same_target.count(), 0, "a target does one call at a time");
+                calls.push(call);
+            }
+            for end in ends {
+                let Ok(names) = end.outcome else {
+                    open.remove(&end.set);
+                    continue;
+                };
+                let pieces = open.remove(&end.set);
+                prop_assert_eq!(pieces.map(|pieces| pieces as usize), Some(names.len()));
+                for (piece, name) in names.iter().enumerate() {
+                    let own = format!("/{}.{piece}", end.set.0);
+                    prop_assert!(name.ends_with(&own), "{} is not piece {}", name, own);
+                }
+            }
+        }
+    }
+}
