Prove relay, streams, stages and the platform's faults over real processes

The test of SIGHUP failed first: the settings were compared with the ports that the system had chosen, and every signal counted as a change.

--- a/crates/gateway/src/process/daemon.rs
+++ b/crates/gateway/src/process/daemon.rs
@@ -53,7 +53,7 @@
 }
 
 async fn serve(
-    profile: GatewayProfile,
+    mut profile: GatewayProfile,
     settings: GatewaySettings,
     executor: Rc<LocalExecutor<'static>>,
 ) -> Result<(), RunError> {
@@ -68,7 +68,13 @@
     let peers = open("peer listener", profile.peers)?;
     let metrics_address = SocketAddr::new(profile.front.ip(), settings.metrics_port);
     let metrics = open("metrics listener", metrics_address)?;
+    let read = profile.clone();
+    // The system may have chosen the ports.
+    profile.front = local_address(&front)?;
+    profile.ready = local_address(&ready)?;
+    profile.peers = local_address(&peers)?;
     slog::info!(log, "gateway: Started.";
+        "ready" => %profile.ready, "metrics" => %local_address(&metrics)?,
         "node" => %profile.node, "zone" => %profile.zone, "front" => %profile.front,
         "peers" => %profile.peers, "store" => %profile.store, "seeds" => profile.seeds.len(),
         "version" => env!("CARGO_PKG_VERSION"));
@@ -90,7 +96,7 @@
     let connections = tasks.sibling();
     let callers = CallerFront::new(Shared::clone(&shared), connections.clone());
     let accepting = tasks.spawn_owned(callers.run(front));
-    wait_for_stop(&shared, &mut signals).await;
+    wait_for_stop(&shared, &read, &mut signals).await;
     DrainDriver::new(Shared::clone(&shared), accepting, ending)
         .run()
         .await;
@@ -107,14 +113,19 @@
     listen(address).map_err(RunError::setup(format!("{what} on {address}")))
 }
 
+fn local_address(listener: &smol::Async<std::net::TcpListener>) -> Result<SocketAddr, RunError> {
+    let address = listener.get_ref().local_addr();
+    address.map_err(RunError::setup("address of a listener"))
+}
+
 /// Waits for a signal to stop. A changed settings file is checked and noted;
 /// what it may change takes a restart.
-async fn wait_for_stop(shared: &Shared, signals: &mut Signals) {
+async fn wait_for_stop(shared: &Shared, read: &GatewayProfile, signals: &mut Signals) {
     while let Some(signal) = signals.next().await {
         match signal {
             Ok(Signal::Hup) => match read_profile() {
                 Ok(profile) => slog::info!(shared.log, "gateway: Settings read again.";
-                    "changed" => profile != shared.profile),
+                    "changed" => profile != *read),
                 Err(error) => slog::error!(shared.log, "gateway: Settings not usable.";
                     "error" => %error),
             },
--- /dev/null
+++ b/crates/gateway/tests/streams.rs
@@ -0,0 +1,371 @@
+//! Streams and the stages before them, as callers, engines and stages see them.
+
+mod support;
+
+use std::{collections::BTreeSet, thread, time::Duration};
+
+use serde_json::{Value, json};
+use support::{
+    CallerRequest, GatewayProcess, RawAnswer, any_port, config, register, route, usual_routes,
+    usual_store, wait_for,
+};
+use verbenahub_platform_standin::{
+    EngineTarget, PlainTarget, RawCall, RawReply, ReplyPart, RunLog, StageTarget, StoreServer,
+};
+
+const EVENTS: u32 = 6;
+const PAUSE: Duration = Duration::from_millis(5);
+
+/// A gateway before engines that follow a script.
+struct StreamFixture {
+    gateway: GatewayProcess,
+    log: RunLog,
+    engines: Vec<PlainTarget>,
+    _store: StoreServer,
+}
+
+impl StreamFixture {
+    fn start<F>(engines: usize, script: F) -> Self
+    where
+        F: Fn(&RawCall) -> RawReply + Clone + Send + Sync + 'static,
+    {
+        let store = usual_store();
+        let log = RunLog::default();
+        let engines: Vec<PlainTarget> = (0..engines)
+            .map(|number| {
+                let id = format!("e{number}");
+                let engine = PlainTarget::start(any_port(), &id, &log, script.clone());
+                let engine = engine.expect("an engine");
+                register(&store, &id, "pool", engine.server().address());
+                engine
+            })
+            .collect();
+        let gateway = GatewayProcess::start_ready("n1", store.address());
+        let known = engines.len();
+        gateway.wait_line(|line| line["targets"] == known);
+        Self {
+            gateway,
+            log,
+            engines,
+            _store: store,
+        }
+    }
+
+    fn ask(&self, path: &str, id: &str) -> RawAnswer {
+        CallerRequest::new("POST", path, id).ask(self.gateway.front)
+    }
+}
+
+fn events(id: &str, count: u32) -> String {
+    let events: Vec<String> = (0..count)
+        .map(|number| format!("id: {number}\ndata: {id} {number}\n\n"))
+        .collect();
+    events.concat()
+}
+
+#[test]
+fn stream_reaches_the_caller_whole_and_in_order() {
+    let fixture = StreamFixture::start(2, |call: &RawCall| {
+        EngineTarget::stream(call, EVENTS, PAUSE).last_chunk()
+    });
+    for id in ["r1", "r2", "r3"] {
+        let answer = fixture.ask("/tell/a", id);
+        assert_eq!((answer.status, answer.is_whole), (200, true));
+        assert_eq!(answer.text(), events(id, EVENTS));
+        assert_eq!(answer.header("Response-Signature"), Some("3e1b.07"));
+        assert_eq!(fixture.log.runs_of(id).len(), 1);
+    }
+}
+
+#[test]
+fn broken_stream_that_may_not_go_on_never_looks_complete() {
+    for case in ["close", "half an event", "silence at its end"] {
+        let fixture = StreamFixture::start(2, move |call: &RawCall| {
+            let begun = EngineTarget::stream(call, 3, PAUSE);
+            match case {
+                "close" => begun.then(ReplyPart::Close),
+                "half an event" => begun.chunk(b"id: 3\nda").last_chunk(),
+                _ => begun.then(ReplyPart::Silence),
+            }
+        });
+        let mut request = CallerRequest::new("POST", "/tell/a", "r1");
+        request.deadline_ms = 800;
+        let answer = request.ask(fixture.gateway.front);
+        assert_eq!(answer.status, 200, "{case}");
+        assert!(!answer.is_whole, "{case}");
+        assert_eq!(answer.text(), events("r1", 3), "{case}");
+        assert_eq!(fixture.log.runs_of("r1").len(), 1, "{case}");
+    }
+}
+
+#[test]
+fn resumable_stream_goes_on_at_another_engine_after_its_last_whole_event() {
+    for case in ["close", "half an event", "silence"] {
+        let log = RunLog::default();
+        let seen = log.clone();
+        let fixture = StreamFixture::start(2, move |call: &RawCall| {
+            seen.note("any", call);
+            if seen.runs().len() > 1 {
+                return EngineTarget::stream(call, EVENTS, PAUSE).last_chunk();
+            }
+            let begun = EngineTarget::stream(call, 3, PAUSE);
+            match case {
+                "close" => begun.then(ReplyPart::Close),
+                "half an event" => begun.chunk(b"id: 3\nda").then(ReplyPart::Close),
+                _ => begun.then(ReplyPart::Silence),
+            }
+        });
+        let answer = fixture.ask("/resume/a", "r1");
+        assert!(answer.is_whole, "{case}");
+        assert_eq!(answer.text(), events("r1", EVENTS), "{case}");
+        let runs = fixture.log.runs_of("r1");
+        assert_eq!(runs.len(), 2, "{case}");
+        assert_ne!(runs[0].target, runs[1].target, "{case}");
+        assert_eq!(runs[1].call.header("Last-Event-Id"), Some("2"), "{case}");
+    }
+}
+
+#[test]
+fn resumable_stream_goes_on_no_more_often_than_its_route_allows() {
+    let fixture = StreamFixture::start(3, |call: &RawCall| {
+        EngineTarget::stream(call, 2, PAUSE).then(ReplyPart::Close)
+    });
+    let answer = fixture.ask("/resume/a", "r1");
+    assert!(!answer.is_whole);
+    assert_eq!(fixture.log.runs_of("r1").len(), 2);
+}
+
+#[test]
+fn stream_passes_event_by_event() {
+    let fixture = StreamFixture::start(1, |call: &RawCall| {
+        EngineTarget::stream(call, 2, PAUSE).then(ReplyPart::Silence)
+    });
+    let mut stream = CallerRequest::new("POST", "/tell/a", "r1").send(fixture.gateway.front);
+    // The engine says nothing more; what it has said is here all the same.
+    let mut seen = Vec::new();
+    while !String::from_utf8_lossy(&seen).contains("r1 1\n\n") {
+        let mut byte = [0];
+        std::io::Read::read_exact(&mut stream, &mut byte).expect("the events");
+        seen.push(byte[0]);
+    }
+    drop(stream);
+    let server = fixture.engines[0].server();
+    wait_for("the end of the work", || server.broken() == 1);
+}
+
+#[test]
+fn requests_with_the_same_prompt_go_to_the_same_engine() {
+    let fixture = StreamFixture::start(5, |call: &RawCall| {
+        EngineTarget::stream(call, 1, PAUSE).last_chunk()
+    });
+    let engines_of = |part: &str| -> BTreeSet<String> {
+        let engines = (0..6).map(|number| {
+            let id = format!("{part}-{number}");
+            let prompt = format!("aa:100,{part}:200,{number:x}:50");
+            let request = CallerRequest::new("POST", "/tell/a", &id);
+            request
+                .with("Prompt-Prefix", &prompt)
+                .ask(fixture.gateway.front);
+            fixture.log.runs_of(&id)[0].target.clone()
+        });
+        engines.collect()
+    };
+    let all: BTreeSet<String> = (0..8)
+        .flat_map(|part| {
+            let engines = engines_of(&format!("{part:x}c"));
+            assert_eq!(engines.len(), 1, "one prompt, one engine");
+            engines
+        })
+        .collect();
+    assert!(all.len() > 1, "other prompts, other engines");
+}
+
+/// Gateways before two stages and an engine. Stage 1 needs stage 0; stage 2 is
+/// on its own.
+struct StageFixture {
+    gateways: Vec<GatewayProcess>,
+    log: RunLog,
+    stages: Vec<StageTarget>,
+    _engine: PlainTarget,
+    store: StoreServer,
+}
+
+impl StageFixture {
+    fn start(gateways: usize, call_time: Duration) -> Self {
+        let store = usual_store();
+        let mut staged = route("staged", "/staged/", "streaming", "pool", 1);
+        staged["Stages"] = json!([
+            { "Service": "stage-a", "After": [], "Bytes": 1000 },
+            { "Service": "stage-b", "After": [0], "Bytes": 1000 },
+            { "Service": "stage-a", "After": [], "Bytes": 1000 }
+        ]);
+        let mut routes = usual_routes();
+        routes.push(staged);
+        store.put("op/config", &config(4, &routes));
+        let log = RunLog::default();
+        let engine = EngineTarget::start(any_port(), "e0", &log, EVENTS, PAUSE);
+        let engine = engine.expect("an engine");
+        register(&store, "e0", "pool", engine.server().address());
+        let services = ["stage-a", "stage-b", "stage-a", "stage-b"];
+        let targets: Vec<StageTarget> = services
+            .iter()
+            .enumerate()
+            .map(|(number, service)| {
+                let id = format!("s{number}");
+                let stage = StageTarget::start(any_port(), &id, call_time).expect("a stage");
+                register(&store, &id, service, stage.server().address());
+                stage
+            })
+            .collect();
+        let mut processes: Vec<GatewayProcess> = Vec::new();
+        for number in 0..gateways {
+            let seeds: Vec<_> = processes.iter().map(|process| process.peers).collect();
+            let name = format!("n{number}");
+            processes.push(GatewayProcess::start(&name, store.address(), &seeds));
+        }
+        for process in &processes {
+            process.wait_ready();
+            process.wait_line(|line| line["targets"] == 5);
+        }
+        Self {
+            gateways: processes,
+            log,
+            stages: targets,
+            _engine: engine,
+            store,
+        }
+    }
+
+    fn made(&self) -> Vec<Value> {
+        self.stages.iter().flat_map(StageTarget::made).collect()
+    }
+
+    fn held(&self) -> usize {
+        self.stages.iter().map(StageTarget::held).sum()
+    }
+}
+
+fn staged(id: &str, pieces: &str) -> CallerRequest {
+    let request = CallerRequest::new("POST", "/staged/a", id);
+    request
+        .with("Pieces", pieces)
+        .with("Piece-Key", "secret-key")
+}
+
+#[test]
+fn stages_run_in_their_order_and_the_engine_gets_all_final_results() {
+    let fixture = StageFixture::start(1, Duration::from_millis(20));
+    let answer = staged("r1", "2,3,1").ask(fixture.gateways[0].front);
+    assert_eq!((answer.status, answer.is_whole), (200, true));
+    assert_eq!(answer.text(), events("r1", EVENTS));
+    let made = fixture.made();
+    let of =
+        |stage: u32| -> Vec<&Value> { made.iter().filter(|item| item["Stage"] == stage).collect() };
+    assert_eq!((of(0).len(), of(1).len(), of(2).len()), (2, 3, 1));
+    for item in of(0).into_iter().chain(of(2)) {
+        assert_eq!(
+            (&item["Key"], &item["Inputs"]),
+            (&json!("secret-key"), &Value::Null)
+        );
+    }
+    for item in of(1) {
+        assert_eq!(item["Inputs"].as_array().map(Vec::len), Some(2));
+        assert_eq!(item["Key"], Value::Null);
+    }
+    let run = fixture.log.runs_of("r1").remove(0).call;
+    let inputs: BTreeSet<&str> = run.header("Inputs").expect("inputs").split(',').collect();
+    assert_eq!(
+        inputs.len(),
+        4,
+        "three pieces of stage 1 and one of stage 2"
+    );
+    wait_for("results to be freed", || fixture.held() == 0);
+}
+
+#[test]
+fn stage_without_pieces_is_left_out() {
+    let fixture = StageFixture::start(1, Duration::from_millis(5));
+    let answer = staged("r1", "1,1,0").ask(fixture.gateways[0].front);
+    assert!(answer.is_whole);
+    assert_eq!(fixture.made().len(), 2);
+    let run = fixture.log.runs_of("r1").remove(0).call;
+    assert_eq!(run.header("Inputs").expect("inputs").split(',').count(), 1);
+    for pieces in ["1", "1,1,1,1", "x,1,1"] {
+        assert_eq!(
+            staged("r2", pieces).ask(fixture.gateways[0].front).status,
+            400
+        );
+    }
+}
+
+#[test]
+fn pieces_of_requests_at_different_nodes_share_calls() {
+    let fixture = StageFixture::start(3, Duration::from_millis(150));
+    // All nodes know each other once each collects or asks.
+    for gateway in &fixture.gateways {
+        wait_for("the fleet", || {
+            let text = RawAnswer::ask(gateway.metrics, "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+            text.text().contains("verbenahub_gateway_members 3")
+        });
+    }
+    let callers: Vec<_> = (0..24)
+        .map(|number| {
+            let front = fixture.gateways[number % 3].front;
+            thread::spawn(move || {
+                let id = format!("r{number}");
+                let answer = staged(&id, "1,1,0").ask(front);
+                assert!(answer.is_whole, "{id}: {}", answer.status);
+                assert_eq!(answer.text(), events(&id, EVENTS));
+            })
+        })
+        .collect();
+    for caller in callers {
+        caller.join().expect("a whole answer");
+    }
+    let made = fixture.made();
+    assert_eq!(made.len(), 48, "no piece is made twice");
+    let calls: usize = fixture.stages.iter().map(StageTarget::calls).sum();
+    assert!(calls <= 24, "{calls} calls for 48 pieces");
+    wait_for("results to be freed", || fixture.held() == 0);
+}
+
+#[test]
+fn request_whose_stages_have_no_time_is_refused_at_once_and_begins_nothing() {
+    let fixture = StageFixture::start(1, Duration::from_millis(20));
+    let mut request = staged("r1", "2,3,1");
+    request.deadline_ms = 100;
+    let answer = request.ask(fixture.gateways[0].front);
+    assert_eq!(answer.status, 503);
+    assert!(answer.header("Retry-After").is_some());
+    assert_eq!(fixture.made(), Vec::<Value>::new());
+    assert_eq!(fixture.log.runs(), []);
+}
+
+#[test]
+fn caller_that_leaves_during_the_stages_leaves_nothing_behind() {
+    let fixture = StageFixture::start(1, Duration::from_millis(300));
+    let stream = staged("r1", "2,2,1").send(fixture.gateways[0].front);
+    wait_for("the first stage", || !fixture.made().is_empty());
+    drop(stream);
+    let line = fixture.gateways[0].wait_line(|line| line["msg"] == "request: Ended.");
+    assert_eq!(line["outcome"], "caller_gone");
+    wait_for("results to be freed", || {
+        let calls: usize = fixture.stages.iter().map(StageTarget::calls).sum();
+        calls > 0 && fixture.held() == 0
+    });
+    assert!(fixture.made().iter().all(|item| item["Stage"] != 1));
+    assert_eq!(fixture.log.runs(), []);
+}
+
+#[test]
+fn stage_target_that_is_gone_is_passed_over() {
+    let mut fixture = StageFixture::start(1, Duration::from_millis(20));
+    // The first of two targets of stage-a ends without a word.
+    drop(fixture.stages.remove(0));
+    for number in 0..4 {
+        let answer = staged(&format!("r{number}"), "1,1,1").ask(fixture.gateways[0].front);
+        assert!(answer.is_whole, "{}", answer.status);
+    }
+    fixture.store.remove("servers/s0");
+    fixture.gateways[0].wait_line(|line| line["targets"] == 4);
+}
