--- a/crates/core/src/staging/stage_queue.rs
+++ b/crates/core/src/staging/stage_queue.rs
@@ -79,9 +79,6 @@
 /// where its results find room. The pieces of one set stay together as long as
 /// they fit a call, and go to the zone in which their results will be read
 /// unless they have waited for long.
-///
-/// A call is no longer than those in it can bear, unless more that can be on
-/// time waits than the next call could carry.
 #[derive(Clone, Debug)]
 pub struct StageQueue {
     service: StageService,
@@ -509,18 +506,8 @@
         Some(best.0.clone())
     }
 
-    /// Whether more sets that can be on time wait than one call can carry.
-    fn is_pressed(&self, least: ClockTime) -> bool {
-        let on_time = self.sets.values().filter(|set| set.set.goal_at >= least);
-        let pieces: usize = on_time.map(|set| set.waiting.len()).sum();
-        pieces > self.service.batch
-    }
-
     /// Takes the pieces of a call to `target` from the sets that wait. A set
-    /// is split only if it doesn't fit a call of its own. Each piece makes the
-    /// call longer: late sets are left out where that would make others late,
-    /// and so are sets that can be on time as long as the next call can carry
-    /// them.
+    /// is split only if it doesn't fit a call of its own.
     fn fill(&mut self, target: &TargetId, order: &[SetNumber], now: ClockTime) -> Vec<CallPiece> {
         let mut pieces = Vec::new();
         let Some(state) = self.targets.get(target) else {
@@ -528,10 +515,6 @@
         };
         let zone = state.zone.clone();
         let mut room = self.room_left(state);
-        let least = self.least_end(now);
-        let is_pressed = self.is_pressed(least);
-        // When the call must end for the sets in it to be on time.
-        let mut due: Option<ClockTime> = None;
         for number in order {
             let free = self.service.batch - pieces.len();
             let Some(set) = self.sets.get(number) else {
@@ -544,15 +527,6 @@
                 continue;
             }
             let taken = set.waiting.len().min(fitting);
-            let is_late = set.set.goal_at < least;
-            let end = now + numbers::span(self.service.call_time(pieces.len() + taken));
-            if due.is_some_and(|due| end > due) && (is_late || !is_pressed) {
-                continue;
-            }
-            if !is_late {
-                let goal_at = set.set.goal_at;
-                due = Some(due.map_or(goal_at, |due| due.min(goal_at)));
-            }
             let Some(set) = self.sets.get_mut(number) else {
                 continue;
             };
