Gossip five times a second for five seconds after a start

Ruled out: a slow start of the process (ready after 0.1 s), the store (answers). Change: rounds of 200 ms for 5 s after the start. Test seen failing without it.

--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -2,12 +2,14 @@
 
 mod fleet_member;
 mod fleet_table;
+mod gossip_pace;
 mod reader_rank;
 mod weighted_order;
 
 pub use self::{
     fleet_member::FleetMember,
     fleet_table::FleetTable,
+    gossip_pace::GossipPace,
     reader_rank::{ReaderPlan, ReaderRank},
     weighted_order::weighted_order,
 };
--- a/crates/core/tests/gateway_fleet.rs
+++ b/crates/core/tests/gateway_fleet.rs
@@ -5,7 +5,7 @@
 use fastrand::Rng;
 use verbenahub_core::{
     clock::{ClockTime, TimeSpan},
-    fleet::{FleetMember, FleetTable, ReaderPlan, ReaderRank},
+    fleet::{FleetMember, FleetTable, GossipPace, ReaderPlan, ReaderRank},
     ids::{IncarnationNumber, NodeId, PoolName, TargetId},
     staging::ShardMap,
 };
@@ -195,6 +195,23 @@
     }
 }
 
+#[test]
+fn fleet_that_comes_back_at_once_knows_itself_in_a_second() {
+    let pace = GossipPace::new(at(10_000));
+    for seed in 0..20 {
+        for count in [9, 69] {
+            let mut now = at(10_000);
+            for _ in 0..rounds_until_all_know(count, seed) {
+                now = now + pace.interval(true, now);
+            }
+            assert!(now <= at(11_000), "{count} nodes take until {now}");
+        }
+    }
+    let later = at(16_000);
+    assert_eq!(pace.interval(true, later), TimeSpan::from_secs(1));
+    assert!(pace.interval(false, later) < TimeSpan::from_secs(1));
+}
+
 #[test]
 fn forgotten_member_is_told_to_nobody() {
     let mut table = FleetTable::new(member(0, 0, 0.25));
--- a/crates/gateway/src/peers/gossip_round.rs
+++ b/crates/gateway/src/peers/gossip_round.rs
@@ -2,15 +2,11 @@
 
 use fastrand::Rng;
 use smol::Timer;
-use verbenahub_core::{clock::TimeSpan, ids::NodeId};
+use verbenahub_core::{clock::TimeSpan, fleet::GossipPace, ids::NodeId};
 
 use super::{GOSSIP_PATH, GossipNote, GossipReply, PeerError};
 use crate::process::Shared;
 
-/// Interval between rounds of a node that the store answers.
-const USUAL_INTERVAL: TimeSpan = TimeSpan::from_millis(1_000);
-/// Interval between rounds of a node that depends on others for news.
-const URGENT_INTERVAL: TimeSpan = TimeSpan::from_millis(300);
 /// Time for an answer to a note.
 const ANSWER_TIMEOUT: TimeSpan = TimeSpan::from_millis(800);
 /// One round in so many goes to a seed, so that parts of a fleet that don't
@@ -24,6 +20,7 @@
     seeds: Vec<SocketAddr>,
     rng: Rng,
     rounds: u64,
+    pace: GossipPace,
 }
 
 impl GossipRound {
@@ -32,11 +29,13 @@
     pub fn new(shared: Shared) -> Self {
         let own = shared.profile.peers;
         let seeds = shared.profile.seeds.iter().copied();
+        let pace = GossipPace::new(shared.now());
         Self {
             seeds: seeds.filter(|seed| *seed != own).collect(),
             rng: Rng::with_seed(shared.random()),
             shared,
             rounds: 0,
+            pace,
         }
     }
 
@@ -51,12 +50,10 @@
                 self.exchange(node, address).await;
             }
             self.rounds += 1;
-            let is_current = self.shared.contact.borrow().is_current(self.shared.now());
-            let interval = if is_current && self.shared.is_ready() {
-                USUAL_INTERVAL
-            } else {
-                URGENT_INTERVAL
-            };
+            let now = self.shared.now();
+            let is_current = self.shared.contact.borrow().is_current(now);
+            let is_supplied = is_current && self.shared.is_ready();
+            let interval = self.pace.interval(is_supplied, now);
             let jitter = 0.75 + self.rng.f64() * 0.5;
             Timer::after(Duration::from(interval).mul_f64(jitter)).await;
         }
