Tell a stage's own answer from an earlier call's; one accept loop

Cause: found while writing the table of rules: answers to calls for pieces echo no id. A target that answers twice, late, has its second answer taken for that of the next call on the connection: pieces of r1 were made from results of r0. Ruled out: one connection a call (new connections are priced), the load header (the same in both). Change: an answer that names a result which was named before belongs to another call; the call fails and the target's connections are closed. Before: extra_answer_of_a_stage_is_not_taken_for_the_next_calls fails at the first request. Besides: four copies of the accept loop are one.

--- a/crates/core/src/staging/mod.rs
+++ b/crates/core/src/staging/mod.rs
@@ -8,6 +8,7 @@
 mod piece_end;
 mod queue_backlog;
 mod queue_target;
+mod result_names;
 mod set_end;
 mod shard_map;
 mod stage_call;
@@ -21,6 +22,7 @@
     path_estimate::PathEstimate,
     piece_end::PieceEnd,
     queue_backlog::QueueBacklog,
+    result_names::ResultNames,
     set_end::{SetEnd, SetFailure},
     shard_map::ShardMap,
     stage_call::{CallNumber, CallPiece, StageCall},
--- a/crates/gateway/src/front/caller_connection.rs
+++ b/crates/gateway/src/front/caller_connection.rs
@@ -6,7 +6,7 @@
 };
 
 use super::{
-    ActiveRequest, OwnAnswer, RequestEnd,
+    ActiveRequest, OwnAnswer, RelayAnswer, RequestEnd,
     plain_flow::run_plain,
     request_intake::take_in,
     stream_flow::{StreamStart, start_stream},
@@ -174,7 +174,7 @@
         }
     }
 
-    async fn finish_relay(&self, answer: &super::RelayAnswer, closes: bool) -> RequestEnd {
+    async fn finish_relay(&self, answer: &RelayAnswer, closes: bool) -> RequestEnd {
         let closes = closes || self.shared.stopping.get();
         let status = answer.head.status;
         match within(WRITE_TIMEOUT, self.stream.write(&answer.encode(closes))).await {
--- a/crates/gateway/src/front/caller_front.rs
+++ b/crates/gateway/src/front/caller_front.rs
@@ -1,15 +1,9 @@
-use std::{net::TcpListener, time::Duration};
+use std::net::TcpListener;
 
-use smol::{Async, Timer};
+use smol::Async;
 
 use super::CallerConnection;
-use crate::{
-    http::HttpStream,
-    process::{LocalTasks, Shared},
-};
-
-/// Pause after a failed accept, so that a lack of descriptors doesn't spin.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+use crate::process::{LocalTasks, Shared, accept_each};
 
 /// Accepts connections of callers.
 #[derive(Debug)]
@@ -30,21 +24,10 @@
 
     /// Accepts connections until the future is dropped.
     pub async fn run(self, listener: Async<TcpListener>) {
-        loop {
-            let stream = match listener.accept().await {
-                Ok((socket, _)) => HttpStream::new(socket),
-                Err(error) => Err(error),
-            };
-            match stream {
-                Ok(stream) => {
-                    let connection = CallerConnection::new(Shared::clone(&self.shared), stream);
-                    self.connections.spawn(connection.run());
-                }
-                Err(error) => {
-                    slog::warn!(self.shared.log, "caller: Accept failed."; "error" => %error);
-                    Timer::after(ACCEPT_PAUSE).await;
-                }
-            }
-        }
+        accept_each(&self.shared, "callers", listener, |stream| {
+            let connection = CallerConnection::new(Shared::clone(&self.shared), stream);
+            self.connections.spawn(connection.run());
+        })
+        .await;
     }
 }
--- a/crates/gateway/src/front/stream_flow.rs
+++ b/crates/gateway/src/front/stream_flow.rs
@@ -9,7 +9,7 @@
 use crate::{
     http::HttpStream,
     process::Shared,
-    staging::{ResultGuard, StageFailure, StageFlow},
+    staging::{ResultGuard, StageFailure, StageFlow, StageOutput},
     targets::{SendError, TargetExchange, within},
 };
 
@@ -226,7 +226,7 @@
     shared: &Shared,
     request: &ActiveRequest,
     send: &TargetSend<'_>,
-) -> Result<crate::staging::StageOutput, OwnAnswer> {
+) -> Result<StageOutput, OwnAnswer> {
     let fields = &request.head.headers;
     let pieces = fields.text(headers::PIECES).and_then(parse_pieces);
     let pieces = pieces.ok_or(OwnAnswer::bad_request("no_pieces"))?;
--- a/crates/gateway/src/front/target_send.rs
+++ b/crates/gateway/src/front/target_send.rs
@@ -5,7 +5,7 @@
     cluster::rendezvous,
     ids::ZoneName,
     policy::health::CallOutcome,
-    routes::SendLedger,
+    routes::{RouteKind, SendLedger},
     targets::{ChoiceAsk, TargetRecord},
 };
 use verbenahub_platform::headers;
@@ -188,7 +188,7 @@
         if is_last {
             return left;
         }
-        let patience = if route.kind == verbenahub_core::routes::RouteKind::Streaming {
+        let patience = if route.kind == RouteKind::Streaming {
             route.goal
         } else {
             route.goal * PLAIN_PATIENCE
--- a/crates/gateway/src/http/body_reader.rs
+++ b/crates/gateway/src/http/body_reader.rs
@@ -1,6 +1,6 @@
 use std::io;
 
-use bytes::{Buf, Bytes};
+use bytes::{Buf, Bytes, BytesMut};
 use thiserror::Error;
 
 use super::{BodyFraming, HttpStream};
@@ -116,7 +116,7 @@
         stream: &mut HttpStream,
         limit: usize,
     ) -> Result<Bytes, BodyError> {
-        let mut whole = bytes::BytesMut::new();
+        let mut whole = BytesMut::new();
         while let Some(bytes) = self.next(stream).await? {
             if whole.len() + bytes.len() > limit {
                 return Err(BodyError::TooLarge(limit));
--- a/crates/gateway/src/peers/peer_front.rs
+++ b/crates/gateway/src/peers/peer_front.rs
@@ -11,7 +11,7 @@
 };
 use crate::{
     http::{BodyReader, HeaderList, HttpStream, RequestHead, ResponseHead, request_framing},
-    process::Shared,
+    process::{Shared, accept_each},
     staging::{FreeNote, StageAsk},
     targets::within,
 };
@@ -21,8 +21,6 @@
 /// Largest call of another gateway: the names of all results that a set of
 /// pieces needs.
 const CALL_BYTES: usize = 4 << 20;
-/// Pause after a failed accept, so that a lack of descriptors doesn't spin.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Time for which news is collected before it goes to followers. Short against
 /// the bounds on applying it.
@@ -43,23 +41,13 @@
 
     /// Accepts connections until the future is dropped.
     pub async fn run(self, listener: Async<TcpListener>) {
-        loop {
-            match listener.accept().await {
-                Ok((socket, _)) => {
-                    let front = self.clone();
-                    self.shared.tasks.spawn(async move {
-                        // A peer that breaks off calls again elsewhere.
-                        if let Ok(stream) = HttpStream::new(socket) {
-                            front.serve(stream).await;
-                        }
-                    });
-                }
-                Err(error) => {
-                    slog::warn!(self.shared.log, "peers: Accept failed."; "error" => %error);
-                    Timer::after(ACCEPT_PAUSE).await;
-                }
-            }
-        }
+        accept_each(&self.shared, "peers", listener, |stream| {
+            let front = self.clone();
+            self.shared
+                .tasks
+                .spawn(async move { front.serve(stream).await });
+        })
+        .await;
     }
 
     async fn serve(&self, mut stream: HttpStream) {
--- a/crates/gateway/src/process/daemon.rs
+++ b/crates/gateway/src/process/daemon.rs
@@ -1,18 +1,21 @@
 //! The process from its start to its end.
 
-use std::{env, fs, net::SocketAddr, path::PathBuf, rc::Rc};
+use std::{
+    env, fs,
+    net::{SocketAddr, TcpListener},
+    path::PathBuf,
+    rc::Rc,
+};
 
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
-use smol::LocalExecutor;
+use smol::{Async, LocalExecutor};
 use verbenahub_core::settings::GatewayProfile;
 use verbenahub_platform::{SETTINGS_VARIABLE, decode_node_file};
 
 use super::{
     DaemonArgs, GatewayClock, GatewayMetrics, GatewaySettings, GatewayState, LocalTasks, LogBuffer,
-    RunError, Shared,
-    drain_driver::{DrainDriver, listen},
-    metrics_front::MetricsFront,
+    RunError, Shared, drain_driver::DrainDriver, listen, metrics_front::MetricsFront,
     ready_front::ReadyFront,
 };
 use crate::{
@@ -109,11 +112,11 @@
     Ok(())
 }
 
-fn open(what: &str, address: SocketAddr) -> Result<smol::Async<std::net::TcpListener>, RunError> {
+fn open(what: &str, address: SocketAddr) -> Result<Async<TcpListener>, RunError> {
     listen(address).map_err(RunError::setup(format!("{what} on {address}")))
 }
 
-fn local_address(listener: &smol::Async<std::net::TcpListener>) -> Result<SocketAddr, RunError> {
+fn local_address(listener: &Async<TcpListener>) -> Result<SocketAddr, RunError> {
     let address = listener.get_ref().local_addr();
     address.map_err(RunError::setup("address of a listener"))
 }
--- a/crates/gateway/src/process/drain_driver.rs
+++ b/crates/gateway/src/process/drain_driver.rs
@@ -1,7 +1,7 @@
-use std::{net::TcpListener, time::Duration};
+use std::time::Duration;
 
 use async_channel::Sender;
-use smol::{Async, Task, Timer};
+use smol::{Task, Timer};
 use verbenahub_core::{
     clock::TimeSpan,
     drain::{DrainAction, DrainEvent, DrainLimits, DrainMachine, DrainWork},
@@ -92,8 +92,3 @@
         }
     }
 }
-
-/// Opens a listening socket.
-pub(super) fn listen(address: std::net::SocketAddr) -> std::io::Result<Async<TcpListener>> {
-    Async::<TcpListener>::bind(address)
-}
--- a/crates/gateway/src/process/metrics_front.rs
+++ b/crates/gateway/src/process/metrics_front.rs
@@ -2,7 +2,7 @@
 
 use smol::Async;
 
-use super::{LogBuffer, Shared};
+use super::{LogBuffer, Shared, accept_each};
 use crate::http::{HeaderList, HttpStream, ResponseHead};
 
 /// Largest head of a question.
@@ -26,23 +26,13 @@
 
     /// Answers until the future is dropped.
     pub async fn run(self, listener: Async<TcpListener>) {
-        loop {
-            match listener.accept().await {
-                Ok((socket, _)) => {
-                    let front = self.clone();
-                    self.shared.tasks.spawn(async move {
-                        // Without a connection there is nobody to tell.
-                        if let Ok(stream) = HttpStream::new(socket) {
-                            front.serve(stream).await;
-                        }
-                    });
-                }
-                Err(error) => {
-                    slog::warn!(self.shared.log, "metrics: Accept failed."; "error" => %error);
-                    smol::Timer::after(std::time::Duration::from_millis(50)).await;
-                }
-            }
-        }
+        accept_each(&self.shared, "metrics", listener, |stream| {
+            let front = self.clone();
+            self.shared
+                .tasks
+                .spawn(async move { front.serve(stream).await });
+        })
+        .await;
     }
 
     async fn serve(&self, mut stream: HttpStream) {
--- a/crates/gateway/src/process/mod.rs
+++ b/crates/gateway/src/process/mod.rs
@@ -1,5 +1,6 @@
 //! What lives as long as the process.
 
+mod accept_loop;
 mod daemon_args;
 mod drain_driver;
 mod gateway_clock;
@@ -16,6 +17,7 @@
 pub mod daemon;
 
 pub use self::{
+    accept_loop::{accept_each, listen},
     daemon_args::DaemonArgs,
     gateway_clock::GatewayClock,
     gateway_metrics::GatewayMetrics,
--- a/crates/gateway/src/process/ready_front.rs
+++ b/crates/gateway/src/process/ready_front.rs
@@ -3,7 +3,7 @@
 use smol::Async;
 use verbenahub_platform::paths;
 
-use super::Shared;
+use super::{Shared, accept_each};
 use crate::http::{HeaderList, HttpStream, ResponseHead};
 
 /// Largest head of a question.
@@ -24,23 +24,13 @@
 
     /// Answers until the future is dropped.
     pub async fn run(self, listener: Async<TcpListener>) {
-        loop {
-            match listener.accept().await {
-                Ok((socket, _)) => {
-                    let front = self.clone();
-                    self.shared.tasks.spawn(async move {
-                        // Without a connection there is nobody to tell.
-                        if let Ok(stream) = HttpStream::new(socket) {
-                            front.serve(stream).await;
-                        }
-                    });
-                }
-                Err(error) => {
-                    slog::warn!(self.shared.log, "ready: Accept failed."; "error" => %error);
-                    smol::Timer::after(std::time::Duration::from_millis(50)).await;
-                }
-            }
-        }
+        accept_each(&self.shared, "ready", listener, |stream| {
+            let front = self.clone();
+            self.shared
+                .tasks
+                .spawn(async move { front.serve(stream).await });
+        })
+        .await;
     }
 
     async fn serve(&self, mut stream: HttpStream) {
--- a/crates/gateway/src/staging/stage_call_run.rs
+++ b/crates/gateway/src/staging/stage_call_run.rs
@@ -119,6 +119,11 @@
         if ends.len() != items.len() {
             return Err(SendError::Malformed("wrong number of pieces".to_owned()));
         }
+        if !self.queue.is_own_answer(&ends) {
+            // The answer to this call is still to come on the connection.
+            shared.channels.forget(&record.id);
+            return Err(SendError::Malformed("answer to an earlier call".to_owned()));
+        }
         Ok(CallEnd::Answered(ends))
     }
 }
--- a/crates/gateway/src/staging/stage_desk.rs
+++ b/crates/gateway/src/staging/stage_desk.rs
@@ -12,8 +12,8 @@
     clock::{ClockTime, TimeSpan},
     ids::{PoolName, TargetId},
     staging::{
-        CallEnd, CallNumber, QueueBacklog, SetEnd, SetFailure, SetNumber, ShardMap, StageQueue,
-        StageSet,
+        CallEnd, CallNumber, PieceEnd, QueueBacklog, ResultNames, SetEnd, SetFailure, SetNumber,
+        ShardMap, StageQueue, StageSet,
     },
 };
 
@@ -48,6 +48,7 @@
     /// Changes that the targets were taken from, and when.
     targets_of: Cell<Option<(u64, ClockTime)>>,
     backlog: Cell<Option<(QueueBacklog, ClockTime)>>,
+    names: RefCell<ResultNames>,
 }
 
 /// The queues of all stages that this node collects pieces for.
@@ -172,6 +173,7 @@
                 is_driven: Cell::new(false),
                 targets_of: Cell::new(None),
                 backlog: Cell::new(None),
+                names: RefCell::default(),
             })
         });
         queue.queue.borrow_mut().set_service(spec);
@@ -250,6 +252,16 @@
         shared.results.tell_makers(shared, &self.service, names);
     }
 
+    /// Whether an answer is the one to its own call: none of its results was
+    /// named before.
+    pub(super) fn is_own_answer(&self, ends: &[PieceEnd]) -> bool {
+        let names = ends.iter().filter_map(|end| match end {
+            PieceEnd::Held(name) => Some(name.as_str()),
+            _ => None,
+        });
+        self.names.borrow_mut().take(names)
+    }
+
     /// What a set was asked for, unless its request is gone.
     pub(super) fn ask_of(&self, set: SetNumber) -> Option<Rc<StageAsk>> {
         let waiters = self.waiters.borrow();
--- a/crates/gateway/src/store/feed_reader.rs
+++ b/crates/gateway/src/store/feed_reader.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use std::{convert::Infallible, time::Duration};
 
 use smol::Timer;
 use verbenahub_core::{
@@ -91,10 +91,7 @@
     }
 
     /// Lists, then watches until something fails.
-    async fn follow(
-        &mut self,
-        pause: &mut TimeSpan,
-    ) -> Result<std::convert::Infallible, StoreError> {
+    async fn follow(&mut self, pause: &mut TimeSpan) -> Result<Infallible, StoreError> {
         let mut revision = self.list().await?;
         loop {
             *pause = FIRST_PAUSE;
--- a/crates/gateway/src/targets/channel_pool.rs
+++ b/crates/gateway/src/targets/channel_pool.rs
@@ -69,6 +69,11 @@
         self.idle.borrow_mut().retain(|target, _| is_known(target));
     }
 
+    /// Closes the idle connections to a target.
+    pub fn forget(&self, target: &TargetId) {
+        self.idle.borrow_mut().remove(target);
+    }
+
     /// Closes all idle connections.
     pub fn clear(&self) {
         self.idle.borrow_mut().clear();
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -357,6 +357,51 @@
     assert_eq!(fixture.log.runs(), []);
 }
 
+#[test]
+fn extra_answer_of_a_stage_is_not_taken_for_the_next_calls() {
+    let mut fixture = StageFixture::start(1, Duration::from_millis(5));
+    let span = Duration::from_millis(60);
+    let doubling = StageTarget::start_doubling(any_port(), "s9", Duration::ZERO, span);
+    let doubling = doubling.expect("a stage");
+    for id in ["s0", "s2"] {
+        fixture.store.remove(&format!("servers/{id}"));
+    }
+    register(&fixture.store, "s9", "stage-a", doubling.server().address());
+    let known = |gateway: &GatewayProcess| {
+        let lines = gateway.lines();
+        let last = lines
+            .iter()
+            .rfind(|line| line["msg"] == "targets: Changed.");
+        last.is_some_and(|line| line["targets"] == 4)
+    };
+    wait_for("the change of targets", || known(&fixture.gateways[0]));
+    fixture.stages.push(doubling);
+    // Served or failed, but never with another request's results.
+    let front = fixture.gateways[0].front;
+    let callers: Vec<_> = (0..40)
+        .map(|number| {
+            thread::sleep(Duration::from_millis(4));
+            thread::spawn(move || staged(&format!("r{number}"), "1,1,0").ask(front))
+        })
+        .collect();
+    for caller in callers {
+        caller.join().expect("an answer");
+    }
+    let results: Vec<(Value, String)> = fixture
+        .stages
+        .iter()
+        .flat_map(StageTarget::results)
+        .collect();
+    for (item, _) in results.iter().filter(|(item, _)| item["Stage"] == 1) {
+        let input = item["Inputs"][0].as_str().expect("an input");
+        let maker = results
+            .iter()
+            .find(|(_, name)| name == input)
+            .expect("its maker");
+        assert_eq!(maker.0["Id"], item["Id"]);
+    }
+}
+
 #[test]
 fn stage_target_that_is_gone_is_passed_over() {
     let mut fixture = StageFixture::start(1, Duration::from_millis(20));
