--- /dev/null
+++ b/crates/core/src/staging/queue_ends.rs
@@ -0,0 +1,188 @@
+//! What the end of a call means for sets, targets and room.
+
+use super::{
+    CallEnd, CallNumber, CallPiece, PieceEnd, SetEnd, SetFailure, SetNumber, StageQueue,
+    held_results::HeldResult,
+    running_call::RunningCall,
+    stage_queue::{LONGEST_PAUSE, count},
+};
+use crate::{
+    clock::{ClockTime, TimeSpan},
+    ids::TargetId,
+    policy::numbers,
+};
+
+/// Times that one set's pieces are tried again after a failed call.
+const SET_RETRIES: u32 = 2;
+/// First pause of a target after a failed call. Doubles with each further one.
+const FIRST_PAUSE: TimeSpan = TimeSpan::from_millis(500);
+/// Pause of a target that refused a call.
+const REFUSED_PAUSE: TimeSpan = TimeSpan::from_millis(60);
+/// Pause of a target that has no room for results.
+const NO_ROOM_PAUSE: TimeSpan = TimeSpan::from_millis(100);
+
+impl StageQueue {
+    /// Takes in the end of a call. Returns the sets that are done with.
+    pub fn finish(&mut self, number: CallNumber, end: CallEnd, now: ClockTime) -> Vec<SetEnd> {
+        let Some(call) = self.calls.remove(&number) else {
+            return Vec::new();
+        };
+        self.observe(&call, &end, now);
+        self.settle_room(&call, &end, now);
+        match end {
+            CallEnd::Answered(ends) if ends.len() == call.pieces.len() => {
+                let mut done = Vec::new();
+                for (piece, end) in call.pieces.iter().zip(ends) {
+                    done.extend(self.finish_piece(*piece, end, now));
+                }
+                done
+            }
+            CallEnd::Refused => {
+                for piece in call.pieces {
+                    self.requeue(piece);
+                }
+                Vec::new()
+            }
+            CallEnd::Answered(_) | CallEnd::Failed => self.retry(&call.pieces, now),
+        }
+    }
+
+    pub(super) fn finish_piece(
+        &mut self,
+        piece: CallPiece,
+        end: PieceEnd,
+        now: ClockTime,
+    ) -> Option<SetEnd> {
+        let Some(set) = self.sets.get_mut(&piece.set) else {
+            let PieceEnd::Held(name) = end else {
+                return None;
+            };
+            return Some(SetEnd {
+                set: piece.set,
+                outcome: Err(SetFailure::Late),
+                unused: vec![name],
+            });
+        };
+        match end {
+            PieceEnd::Held(name) => {
+                let place = set.results.get_mut(count(piece.piece))?;
+                if place.replace(name).is_none() {
+                    set.missing = set.missing.saturating_sub(1);
+                }
+                if set.missing > 0 {
+                    return None;
+                }
+                let set = self.sets.remove(&piece.set)?;
+                Some(SetEnd {
+                    set: piece.set,
+                    outcome: Ok(set.results.into_iter().flatten().collect()),
+                    unused: Vec::new(),
+                })
+            }
+            PieceEnd::Late => Some(self.fail(piece.set, SetFailure::Late)),
+            PieceEnd::InputGone => Some(self.fail(piece.set, SetFailure::InputGone)),
+            PieceEnd::NoRoom => {
+                self.requeue(piece);
+                None
+            }
+            PieceEnd::Failed => self.retry(&[piece], now).pop(),
+        }
+    }
+
+    /// Puts pieces of a failed call back, once for each set; sets that have
+    /// failed too often end.
+    pub(super) fn retry(&mut self, pieces: &[CallPiece], now: ClockTime) -> Vec<SetEnd> {
+        let mut sets: Vec<SetNumber> = pieces.iter().map(|piece| piece.set).collect();
+        sets.dedup();
+        let mut done = Vec::new();
+        for number in sets {
+            let Some(set) = self.sets.get_mut(&number) else {
+                continue;
+            };
+            set.retries += 1;
+            if set.retries > SET_RETRIES {
+                done.push(self.fail(number, SetFailure::Failed));
+            } else if set.set.dead_at <= now {
+                done.push(self.fail(number, SetFailure::Late));
+            } else {
+                for piece in pieces.iter().filter(|piece| piece.set == number) {
+                    self.requeue(*piece);
+                }
+            }
+        }
+        done
+    }
+
+    pub(super) fn requeue(&mut self, piece: CallPiece) {
+        let Some(set) = self.sets.get_mut(&piece.set) else {
+            return;
+        };
+        let is_missing = set.results.get(count(piece.piece)) == Some(&None);
+        if is_missing && !set.waiting.contains(&piece.piece) {
+            set.waiting.push(piece.piece);
+        }
+    }
+
+    pub(super) fn fail(&mut self, number: SetNumber, failure: SetFailure) -> SetEnd {
+        SetEnd {
+            set: number,
+            outcome: Err(failure),
+            unused: self.cancel(number),
+        }
+    }
+
+    pub(super) fn observe(&mut self, call: &RunningCall, end: &CallEnd, now: ClockTime) {
+        let Some(target) = self.targets.get_mut(&call.target) else {
+            return;
+        };
+        target.running = target.running.saturating_sub(1);
+        let took = numbers::millis(now.since(call.started));
+        match end {
+            CallEnd::Answered(ends) => {
+                target.failures = 0;
+                target.observe_pace(took / call.expected_ms.max(1.0));
+                if ends.contains(&PieceEnd::NoRoom) {
+                    target.paused_until = now + NO_ROOM_PAUSE;
+                }
+            }
+            CallEnd::Refused => target.paused_until = now + REFUSED_PAUSE,
+            CallEnd::Failed => {
+                let doublings = target.failures.min(8);
+                target.failures += 1;
+                let pause = (FIRST_PAUSE * (1 << doublings)).min(LONGEST_PAUSE);
+                target.paused_until = now + pause;
+            }
+        }
+        self.targets
+            .retain(|_, target| target.listed || target.running > 0);
+    }
+
+    /// Gives back the room that a call had reserved and takes that of the
+    /// results which it has left.
+    pub(super) fn settle_room(&mut self, call: &RunningCall, end: &CallEnd, now: ClockTime) {
+        let reserved: u64 = call.pieces.iter().map(|piece| piece.bytes).sum();
+        self.give_room(&call.target, reserved);
+        let CallEnd::Answered(ends) = end else {
+            return;
+        };
+        let expires = now + self.service.result_lifetime;
+        for (piece, end) in call.pieces.iter().zip(ends) {
+            if let PieceEnd::Held(name) = end {
+                let result = HeldResult {
+                    maker: call.target.clone(),
+                    bytes: piece.bytes,
+                };
+                self.held.insert(name, result, expires);
+                if let Some(target) = self.targets.get_mut(&call.target) {
+                    target.taken += piece.bytes;
+                }
+            }
+        }
+    }
+
+    pub(super) fn give_room(&mut self, target: &TargetId, bytes: u64) {
+        if let Some(target) = self.targets.get_mut(target) {
+            target.taken = target.taken.saturating_sub(bytes);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/staging/queue_order.rs
@@ -0,0 +1,204 @@
+//! Which sets go next, to which target, and how long the others wait.
+
+use super::{
+    CallPiece, SetNumber, StageQueue, StageSet, queue_target::QueueTarget, queued_set::QueuedSet,
+    stage_queue::LONGEST_PAUSE,
+};
+use crate::{
+    clock::{ClockTime, TimeSpan},
+    ids::{TargetId, ZoneName},
+    policy::numbers,
+};
+
+/// Part of a full call's time for which a set waits for a target in the zone
+/// of its results. Longer, and the set would miss a whole round of calls.
+const HOME_PATIENCE: f64 = 0.5;
+/// By how much a set of the next lower rank counts as less urgent. About the
+/// time of a call: in a burst lower ranks are late first.
+const PRIORITY_STEP: TimeSpan = TimeSpan::from_millis(250);
+/// Lowest rank that is told from those below.
+const LOWEST_RANK: u8 = 4;
+
+impl StageQueue {
+    pub(super) fn room_left(&self, target: &QueueTarget) -> u64 {
+        self.service.room.as_bytes().saturating_sub(target.taken)
+    }
+
+    /// Whether a set may go to a zone: its own, or any if it has waited for
+    /// long.
+    pub(super) fn may_go(&self, set: &QueuedSet, zone: &ZoneName, now: ClockTime) -> bool {
+        let patience = self.service.call_time(self.service.batch) * HOME_PATIENCE;
+        let is_home = set.set.home.as_ref().is_none_or(|home| home == zone);
+        is_home || now.since(set.arrived_at) >= numbers::span(patience)
+    }
+
+    /// The free target that a set should go to: in its zone if there is one,
+    /// then the quickest. A slow one gets a call only if more waits than one
+    /// call of the others can carry.
+    pub(super) fn pick_target(&self, number: SetNumber, now: ClockTime) -> Option<TargetId> {
+        let set = self.sets.get(&number)?;
+        let waiting = self.waiting_pieces();
+        let any_quick = self
+            .targets
+            .values()
+            .any(|target| target.listed && !target.is_slow() && target.paused_until <= now);
+        let free = self.targets.iter().filter(|(_, target)| {
+            let worth_it = !target.is_slow() || !any_quick || waiting > self.service.batch;
+            let has_room = self.room_left(target) >= set.set.piece_bytes;
+            target.is_free(now) && worth_it && has_room && self.may_go(set, &target.zone, now)
+        });
+        let is_away = |target: &QueueTarget| {
+            let home = set.set.home.as_ref();
+            home.is_some_and(|home| *home != target.zone)
+        };
+        let best = free.min_by(|left, right| {
+            let by_zone = is_away(left.1).cmp(&is_away(right.1));
+            by_zone.then(left.1.pace.total_cmp(&right.1.pace))
+        })?;
+        Some(best.0.clone())
+    }
+
+    /// Takes the pieces of a call to `target` from the sets that wait. A set
+    /// is split only if it doesn't fit a call of its own.
+    pub(super) fn fill(
+        &mut self,
+        target: &TargetId,
+        order: &[SetNumber],
+        now: ClockTime,
+    ) -> Vec<CallPiece> {
+        let mut pieces = Vec::new();
+        let Some(state) = self.targets.get(target) else {
+            return pieces;
+        };
+        let zone = state.zone.clone();
+        let mut room = self.room_left(state);
+        for number in order {
+            let free = self.service.batch - pieces.len();
+            let Some(set) = self.sets.get(number) else {
+                continue;
+            };
+            let fitting = room.checked_div(set.set.piece_bytes).unwrap_or(u64::MAX);
+            let fitting = usize::try_from(fitting).unwrap_or(usize::MAX).min(free);
+            let is_whole = set.waiting.len() <= fitting;
+            if !(is_whole || pieces.is_empty()) || !self.may_go(set, &zone, now) {
+                continue;
+            }
+            let taken = set.waiting.len().min(fitting);
+            let Some(set) = self.sets.get_mut(number) else {
+                continue;
+            };
+            for piece in set.waiting.drain(..taken) {
+                room = room.saturating_sub(set.set.piece_bytes);
+                pieces.push(CallPiece {
+                    set: *number,
+                    piece,
+                    bytes: set.set.piece_bytes,
+                    left: now.until(set.set.dead_at),
+                });
+            }
+            if pieces.len() == self.service.batch {
+                break;
+            }
+        }
+        let reserved: u64 = pieces.iter().map(|piece| piece.bytes).sum();
+        if let Some(state) = self.targets.get_mut(target) {
+            state.taken += reserved;
+        }
+        pieces
+    }
+
+    /// When a call that starts now is expected to end, filled with what waits.
+    pub(super) fn least_end(&self, now: ClockTime) -> ClockTime {
+        let pieces = self.waiting_pieces().clamp(1, self.service.batch);
+        now + numbers::span(self.service.call_time(pieces))
+    }
+
+    /// Sets in the order in which they get places in calls. Sets that are held
+    /// back are left out.
+    pub(super) fn order(&self, now: ClockTime) -> Vec<SetNumber> {
+        let least = self.least_end(now);
+        let mut order: Vec<_> = self
+            .sets
+            .iter()
+            .filter(|(_, set)| !set.waiting.is_empty())
+            .filter_map(|(number, set)| {
+                let is_late = set.set.goal_at < least;
+                // Sets that were begun are finished first: half a set is of
+                // no use to anyone.
+                let is_whole = set.waiting.len() == set.results.len();
+                if is_late && is_whole && set.set.refusable && self.is_clogged(&set.set) {
+                    return None;
+                }
+                let due = if is_late {
+                    set.set.dead_at
+                } else {
+                    set.set.goal_at
+                };
+                let rank = u64::from(set.set.priority.min(LOWEST_RANK));
+                let due = due + PRIORITY_STEP * rank;
+                // Late sets of requests that have begun hold results.
+                let is_new = is_late && set.set.refusable;
+                Some(((is_late, is_whole, is_new, due), *number))
+            })
+            .collect();
+        order.sort_unstable();
+        order.into_iter().map(|(_, number)| number).collect()
+    }
+
+    pub(super) fn is_clogged(&self, set: &StageSet) -> bool {
+        let mut followers = set.followers.iter();
+        followers.any(|service| self.clogged.contains(service))
+    }
+
+    /// Pieces that wait and come before a new set.
+    pub(super) fn pieces_ahead(&self, set: &StageSet, now: ClockTime) -> usize {
+        let least = self.least_end(now);
+        let is_late = set.goal_at < least;
+        let comes_before = |other: &&QueuedSet| {
+            let other_late = other.set.goal_at < least;
+            match (other_late, is_late) {
+                (false, true) => true,
+                (true, false) => false,
+                (false, false) => other.set.goal_at <= set.goal_at,
+                (true, true) => other.set.dead_at <= set.dead_at,
+            }
+        };
+        let ahead = self.sets.values().filter(comes_before);
+        ahead.map(|set| set.waiting.len()).sum()
+    }
+
+    /// Expected time until `pieces` pieces are done by the targets that work.
+    pub(super) fn drain_time(&self, pieces: usize, now: ClockTime) -> TimeSpan {
+        let last = pieces.clamp(1, self.service.batch);
+        self.wait_time(pieces.saturating_sub(last), now)
+            + numbers::span(self.service.call_time(last))
+    }
+
+    /// Expected time until a call starts that comes after `pieces` pieces.
+    pub(super) fn wait_time(&self, pieces: usize, now: ClockTime) -> TimeSpan {
+        let places = self.open_places(now);
+        if places <= 0.0 {
+            return LONGEST_PAUSE;
+        }
+        let full_ms = self.service.call_time(self.service.batch);
+        let running = numbers::count(self.calls.len());
+        // The next of the calls under way ends after its share of their time.
+        let until_free = if running < places {
+            0.0
+        } else {
+            full_ms / places
+        };
+        let calls = numbers::count(pieces / self.service.batch.max(1));
+        numbers::span(until_free + full_ms * calls / places)
+    }
+
+    /// Calls that the targets can work on at the same time, counted by pace.
+    pub(super) fn open_places(&self, now: ClockTime) -> f64 {
+        let open = self
+            .targets
+            .values()
+            .filter(|target| target.listed && target.paused_until <= now);
+        open.map(|target| f64::from(target.slots) / target.pace.max(1.0))
+            .sum()
+    }
+}
--- /dev/null
+++ b/crates/core/src/staging/queued_set.rs
@@ -0,0 +1,14 @@
+use super::StageSet;
+use crate::clock::ClockTime;
+
+/// One waiting or running set.
+#[derive(Clone, Debug)]
+pub(super) struct QueuedSet {
+    pub(super) set: StageSet,
+    pub(super) arrived_at: ClockTime,
+    /// Pieces that wait for a call.
+    pub(super) waiting: Vec<u32>,
+    pub(super) results: Vec<Option<String>>,
+    pub(super) missing: u32,
+    pub(super) retries: u32,
+}
