Take no request later than three seconds after the signal to stop

What is taken after three seconds counts as lost. Change: new connections for 2.3 s (the balancer notices after two misses), kept ones for 0.4 s more; the times are core's, with a test.

--- a/crates/core/src/drain/drain_limits.rs
+++ b/crates/core/src/drain/drain_limits.rs
@@ -1,5 +1,14 @@
 use crate::clock::TimeSpan;
 
+/// Time for which new connections are taken behind a balancer: it asks once a
+/// second, notices after two misses, and its last connections are on their way.
+const BALANCER_SPAN: TimeSpan = TimeSpan::from_millis(2_300);
+/// Time for which idle connections stay open after that. Requests that are
+/// taken more than three seconds after the signal may not be cut at the end.
+const IDLE_SPAN: TimeSpan = TimeSpan::from_millis(400);
+/// Part of the time to stop that is kept for the end of the process.
+const END_MARGIN: TimeSpan = TimeSpan::from_millis(400);
+
 /// Times of a graceful stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DrainLimits {
@@ -14,3 +23,17 @@
     /// From the end of the work to the end of the process.
     pub handover: TimeSpan,
 }
+
+impl DrainLimits {
+    /// The times of a node behind a balancer that has nothing to hand over and
+    /// is ended after `stop_span`.
+    #[must_use]
+    pub const fn behind_balancer(stop_span: TimeSpan) -> Self {
+        Self {
+            unready: BALANCER_SPAN,
+            closing: IDLE_SPAN,
+            work: stop_span.saturating_sub(END_MARGIN),
+            handover: TimeSpan::ZERO,
+        }
+    }
+}
--- a/crates/core/tests/drain.rs
+++ b/crates/core/tests/drain.rs
@@ -202,3 +202,34 @@
         assert_matches!(machine.phase(), DrainPhase::Stopped);
     }
 }
+
+/// The platform takes no request that a node takes later than this after its
+/// signal to stop as an excuse for cutting it at the end.
+const LAST_REQUEST: TimeSpan = TimeSpan::from_secs(3);
+/// The balancer asks once a second and takes a node out after two misses.
+const NOTICED: TimeSpan = TimeSpan::from_secs(2);
+
+#[test]
+fn node_behind_a_balancer_takes_requests_until_it_is_noticed_and_no_longer() {
+    let mut machine = DrainMachine::new(DrainLimits::behind_balancer(TimeSpan::from_secs(8)));
+    let work = DrainWork {
+        requests: 1,
+        ..DrainWork::default()
+    };
+    let mut events = vec![(ClockTime::ZERO, DrainEvent::Signal)];
+    events.extend((0..160).map(|tick| {
+        let at = ClockTime::from_millis(tick * 50);
+        (at, DrainEvent::Tick(work))
+    }));
+    let actions: Vec<(ClockTime, DrainAction)> = events
+        .into_iter()
+        .filter_map(|(at, event)| Some((at, machine.handle(event, at)?)))
+        .collect();
+    let when = |wanted: DrainAction| {
+        let found = actions.iter().find(|(_, action)| *action == wanted);
+        found.expect("a step").0.since(ClockTime::ZERO)
+    };
+    assert_eq!(when(DrainAction::TurnUnready), TimeSpan::ZERO);
+    assert!(when(DrainAction::StopAccepting) > NOTICED);
+    assert!(when(DrainAction::CloseIdle) < LAST_REQUEST);
+}
--- a/crates/gateway/src/process/drain_driver.rs
+++ b/crates/gateway/src/process/drain_driver.rs
@@ -2,23 +2,12 @@
 
 use async_channel::Sender;
 use smol::{Task, Timer};
-use verbenahub_core::{
-    clock::TimeSpan,
-    drain::{DrainAction, DrainEvent, DrainLimits, DrainMachine, DrainWork},
-};
+use verbenahub_core::drain::{DrainAction, DrainEvent, DrainLimits, DrainMachine, DrainWork};
 
 use super::Shared;
 
 /// Interval at which the work that is left is looked at.
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
-/// Time for which new connections are taken after the node turned unready: the
-/// balancer asks once a second and notices after two misses.
-const UNREADY_SPAN: TimeSpan = TimeSpan::from_millis(3_200);
-/// Time for which idle connections stay open after that.
-const CLOSING_SPAN: TimeSpan = TimeSpan::from_millis(500);
-/// Part of the time to stop that is kept for the end of the process.
-const END_MARGIN: TimeSpan = TimeSpan::from_millis(400);
-
 /// Carries a graceful stop out.
 #[derive(Debug)]
 pub struct DrainDriver {
@@ -33,12 +22,7 @@
     /// callers; closing `ending` ends their idle connections.
     #[must_use]
     pub fn new(shared: Shared, accepting: Task<()>, ending: Sender<()>) -> Self {
-        let limits = DrainLimits {
-            unready: UNREADY_SPAN,
-            closing: CLOSING_SPAN,
-            work: shared.profile.stop_span.saturating_sub(END_MARGIN),
-            handover: TimeSpan::ZERO,
-        };
+        let limits = DrainLimits::behind_balancer(shared.profile.stop_span);
         Self {
             machine: DrainMachine::new(limits),
             shared,
