Wait for a request that arrives as idle connections close

Ruled out: the time of the last request (2.67 s, in time). Change: work is counted after the wait; late work has the rest of the time to stop. Before: the new test of drain fails. After: passes.

--- a/crates/core/src/drain/drain_limits.rs
+++ b/crates/core/src/drain/drain_limits.rs
@@ -25,15 +25,19 @@
 }
 
 impl DrainLimits {
-    /// The times of a node behind a balancer that has nothing to hand over and
-    /// is ended after `stop_span`.
+    /// The times of a node behind a balancer that is ended after `stop_span`. It
+    /// has nothing to hand over, so the time for that goes to requests which
+    /// arrived as their idle connections closed.
     #[must_use]
     pub const fn behind_balancer(stop_span: TimeSpan) -> Self {
         Self {
             unready: BALANCER_SPAN,
             closing: IDLE_SPAN,
             work: stop_span.saturating_sub(END_MARGIN),
-            handover: TimeSpan::ZERO,
+            handover: stop_span
+                .saturating_sub(BALANCER_SPAN)
+                .saturating_sub(IDLE_SPAN)
+                .saturating_sub(END_MARGIN),
         }
     }
 }
--- a/crates/core/tests/drain.rs
+++ b/crates/core/tests/drain.rs
@@ -233,3 +233,30 @@
     assert!(when(DrainAction::StopAccepting) > NOTICED);
     assert!(when(DrainAction::CloseIdle) < LAST_REQUEST);
 }
+
+#[test]
+fn request_that_arrives_as_idle_connections_close_is_waited_for() {
+    let mut machine = DrainMachine::new(DrainLimits::behind_balancer(TimeSpan::from_secs(8)));
+    let at = ClockTime::from_millis;
+    let tick = |requests| {
+        DrainEvent::Tick(DrainWork {
+            requests,
+            ..DrainWork::default()
+        })
+    };
+    let _ = machine.handle(DrainEvent::Signal, at(0));
+    let _ = machine.handle(tick(0), at(2_300));
+    assert_eq!(
+        machine.handle(tick(0), at(2_700)),
+        Some(DrainAction::CloseIdle)
+    );
+    assert_eq!(
+        machine.handle(tick(0), at(2_750)),
+        Some(DrainAction::SealAndHandOver)
+    );
+    assert_eq!(machine.handle(DrainEvent::HandoverEnded, at(2_750)), None);
+    // Its first byte was read only now.
+    assert_eq!(machine.handle(tick(1), at(2_800)), None);
+    assert_eq!(machine.handle(tick(1), at(5_000)), None);
+    assert_matches!(machine.handle(tick(0), at(5_050)), Some(DrainAction::Stop { cut }) if cut.is_empty());
+}
--- a/crates/gateway/src/process/drain_driver.rs
+++ b/crates/gateway/src/process/drain_driver.rs
@@ -36,37 +36,51 @@
         let mut event = DrainEvent::Signal;
         loop {
             let action = self.machine.handle(event, self.shared.now());
-            event = DrainEvent::Tick(self.work());
-            let Some(action) = action else {
+            let is_handover = action == Some(DrainAction::SealAndHandOver);
+            if let Some(action) = action {
+                slog::info!(self.shared.log, "drain: Next step.";
+                    "phase" => %self.machine.phase(), "requests" => self.shared.work.count());
+                if self.carry_out(action).await {
+                    return;
+                }
+            }
+            event = if is_handover {
+                // Nothing is kept here that another node could take over.
+                DrainEvent::HandoverEnded
+            } else {
+                // Connections that a step wakes up read what has arrived
+                // before their work is counted.
                 Timer::after(LOOK_INTERVAL).await;
-                continue;
+                DrainEvent::Tick(self.work())
             };
-            slog::info!(self.shared.log, "drain: Next step.";
-                "phase" => %self.machine.phase(), "requests" => self.shared.work.count());
-            match action {
-                DrainAction::TurnUnready => {
-                    self.shared.stopping.set(true);
-                    self.shared.fleet.borrow_mut().set_active(false);
-                }
-                DrainAction::StopAccepting => {
-                    if let Some(accepting) = self.accepting.take() {
-                        accepting.cancel().await;
-                    }
-                }
-                DrainAction::CloseIdle => {
-                    self.ending.close();
+        }
+    }
+
+    /// Carries a step out. Returns whether the process may end.
+    async fn carry_out(&mut self, action: DrainAction) -> bool {
+        match action {
+            DrainAction::TurnUnready => {
+                self.shared.stopping.set(true);
+                self.shared.fleet.borrow_mut().set_active(false);
+            }
+            DrainAction::StopAccepting => {
+                if let Some(accepting) = self.accepting.take() {
+                    accepting.cancel().await;
                 }
-                // Nothing is kept here that another node could take over.
-                DrainAction::SealAndHandOver => event = DrainEvent::HandoverEnded,
-                DrainAction::Stop { cut } => {
-                    if !cut.is_empty() {
-                        slog::warn!(self.shared.log, "drain: Work was cut off.";
-                            "requests" => cut.requests);
-                    }
-                    return;
+            }
+            DrainAction::CloseIdle => {
+                self.ending.close();
+            }
+            DrainAction::SealAndHandOver => {}
+            DrainAction::Stop { cut } => {
+                if !cut.is_empty() {
+                    slog::warn!(self.shared.log, "drain: Work was cut off.";
+                        "requests" => cut.requests);
                 }
+                return true;
             }
         }
+        false
     }
 
     fn work(&self) -> DrainWork {
