Decide at once which staged requests can be on time, and end what can't be served

A set counted as late as soon as a full call of the stage would end after its goal, though its own call is shorter: half of the questions were late on arrival in calm minutes and were then held back. Requests were spread evenly over collectors with six and seven targets, one of which was always behind (1,037 ms of work, the others 150). Surveys made their 3 MB results first and held them until the engine read them; that filled the room of the first stage and stopped chats. Late sets waited to their deadline and were refused then.

Change: `queue_triage` gives up as few goals as it takes for the others to be on time, and ends late sets at once, with a time to come back, when more wait than the pace of late requests serves. Collectors get requests in proportion to their targets; up to 16 targets have one. Calls take sets of their zone first. Stages of a short branch begin when the longest one is nearly done (`is_due`).

--- a/crates/core/src/staging/graph_progress.rs
+++ b/crates/core/src/staging/graph_progress.rs
@@ -1,5 +1,6 @@
 use std::sync::Arc;
 
+use super::PathEstimate;
 use crate::{clock::ClockTime, ids::PoolName, routes::GraphStage};
 
 /// How far the stages of one request have come.
@@ -35,9 +36,14 @@
         })
     }
 
-    /// Takes the stages that may start now: all that they need is there.
-    pub fn take_ready(&mut self) -> Vec<usize> {
+    /// Takes the stages that may start now: all that they need is there, and
+    /// their results will be needed soon.
+    pub fn take_ready(&mut self, estimate: &PathEstimate) -> Vec<usize> {
+        let unfinished: Vec<usize> = (0..self.stages.len())
+            .filter(|stage| self.results[*stage].is_none())
+            .collect();
         let ready: Vec<usize> = (0..self.stages.len())
+            .filter(|stage| estimate.is_due(*stage, &unfinished))
             .filter(|stage| !self.started[*stage] && self.results[*stage].is_none())
             .filter(|stage| {
                 let mut needed = self.stages[*stage].after.iter();
--- a/crates/core/src/staging/mod.rs
+++ b/crates/core/src/staging/mod.rs
@@ -4,12 +4,14 @@
 mod call_end;
 mod graph_progress;
 mod held_results;
+mod late_pace;
 mod path_estimate;
 mod piece_end;
 mod queue_backlog;
 mod queue_ends;
 mod queue_order;
 mod queue_target;
+mod queue_triage;
 mod queued_set;
 mod result_names;
 mod running_call;
--- a/crates/core/src/staging/path_estimate.rs
+++ b/crates/core/src/staging/path_estimate.rs
@@ -6,15 +6,22 @@
 
 /// Usual time from an engine's start on a request to its first event: waiting,
 /// reading the prompt, one step.
-const FIRST_EVENT_MS: f64 = 250.0;
+const FIRST_EVENT_MS: f64 = 150.0;
 /// Usual part of a full call that a set of pieces waits for its own to start.
 const WAIT_SHARE: f64 = 0.3;
 
+/// By how much the time of a branch is taken longer than expected, so that it
+/// is seldom the one that the others wait for.
+const BRANCH_LEAD: f64 = 1.8;
+
 /// What the stages of a request are expected to take.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PathEstimate {
     /// Time from the end of each stage to the answer's first event.
     after: Vec<f64>,
+    /// Time of each stage and all that comes after it.
+    through: Vec<f64>,
+    /// Time of all stages.
     total: f64,
 }
 
@@ -44,9 +51,28 @@
                 after[*before] = after[*before].max(through);
             }
         }
-        let paths = own.iter().zip(&after).map(|(own, after)| own + after);
-        let total = paths.fold(FIRST_EVENT_MS, f64::max);
-        Self { after, total }
+        let through: Vec<f64> = own
+            .iter()
+            .zip(&after)
+            .map(|(own, after)| own + after)
+            .collect();
+        let total = through.iter().copied().fold(FIRST_EVENT_MS, f64::max);
+        Self {
+            after,
+            through,
+            total,
+        }
+    }
+
+    /// Whether a stage should start while the stages in `unfinished`, itself
+    /// among them, are to be done. Results that are needed only at the end take
+    /// room until then, so the stages of a short branch wait for those of a
+    /// long one.
+    #[must_use]
+    pub fn is_due(&self, stage: usize, unfinished: &[usize]) -> bool {
+        let through = |stage: usize| self.through.get(stage).copied().unwrap_or_default();
+        let left = unfinished.iter().map(|stage| through(*stage));
+        through(stage) * BRANCH_LEAD >= left.fold(0.0, f64::max)
     }
 
     /// Time from the end of a stage to the first event.
--- a/crates/core/src/staging/queue_order.rs
+++ b/crates/core/src/staging/queue_order.rs
@@ -17,7 +17,7 @@
 /// time of a call: in a burst lower ranks are late first.
 const PRIORITY_STEP: TimeSpan = TimeSpan::from_millis(250);
 /// Lowest rank that is told from those below.
-const LOWEST_RANK: u8 = 4;
+pub(super) const LOWEST_RANK: u8 = 4;
 
 impl StageQueue {
     pub(super) fn room_left(&self, target: &QueueTarget) -> u64 {
@@ -72,7 +72,16 @@
         };
         let zone = state.zone.clone();
         let mut room = self.room_left(state);
-        for number in order {
+        let is_away = |number: &SetNumber| {
+            let set = &self.sets[number].set;
+            set.home.as_ref().is_some_and(|home| *home != zone)
+        };
+        let mut order = order.to_vec();
+        // The first one is why the target was chosen.
+        if let Some(rest) = order.get_mut(1..) {
+            rest.sort_by_key(|number| (self.sets[number].is_late, is_away(number)));
+        }
+        for number in &order {
             let free = self.service.batch - pieces.len();
             let Some(set) = self.sets.get(number) else {
                 continue;
@@ -107,22 +116,15 @@
         pieces
     }
 
-    /// When a call that starts now is expected to end, filled with what waits.
-    pub(super) fn least_end(&self, now: ClockTime) -> ClockTime {
-        let pieces = self.waiting_pieces().clamp(1, self.service.batch);
-        now + numbers::span(self.service.call_time(pieces))
-    }
-
     /// Sets in the order in which they get places in calls. Sets that are held
     /// back are left out.
     pub(super) fn order(&self, now: ClockTime) -> Vec<SetNumber> {
-        let least = self.least_end(now);
         let mut order: Vec<_> = self
             .sets
             .iter()
             .filter(|(_, set)| !set.waiting.is_empty())
             .filter_map(|(number, set)| {
-                let is_late = set.set.goal_at < least;
+                let is_late = set.is_late || self.is_hopeless(&set.set, now);
                 // Sets that were begun are finished first: half a set is of
                 // no use to anyone.
                 let is_whole = set.waiting.len() == set.results.len();
@@ -134,8 +136,7 @@
                 } else {
                     set.set.goal_at
                 };
-                let rank = u64::from(set.set.priority.min(LOWEST_RANK));
-                let due = due + PRIORITY_STEP * rank;
+                let due = urgency(&set.set, due);
                 // Late sets of requests that have begun hold results.
                 let is_new = is_late && set.set.refusable;
                 Some(((is_late, is_whole, is_new, due), *number))
@@ -152,16 +153,12 @@
 
     /// Pieces that wait and come before a new set.
     pub(super) fn pieces_ahead(&self, set: &StageSet, now: ClockTime) -> usize {
-        let least = self.least_end(now);
-        let is_late = set.goal_at < least;
-        let comes_before = |other: &&QueuedSet| {
-            let other_late = other.set.goal_at < least;
-            match (other_late, is_late) {
-                (false, true) => true,
-                (true, false) => false,
-                (false, false) => other.set.goal_at <= set.goal_at,
-                (true, true) => other.set.dead_at <= set.dead_at,
-            }
+        let is_late = self.is_hopeless(set, now);
+        let comes_before = |other: &&QueuedSet| match (other.is_late, is_late) {
+            (false, true) => true,
+            (true, false) => false,
+            (false, false) => other.set.goal_at <= set.goal_at,
+            (true, true) => other.set.dead_at <= set.dead_at,
         };
         let ahead = self.sets.values().filter(comes_before);
         ahead.map(|set| set.waiting.len()).sum()
@@ -202,3 +199,8 @@
             .sum()
     }
 }
+
+/// When a set is due, later for lower ranks.
+pub(super) fn urgency(set: &StageSet, due: ClockTime) -> ClockTime {
+    due + PRIORITY_STEP * u64::from(set.priority.min(LOWEST_RANK))
+}
--- /dev/null
+++ b/crates/core/src/staging/queue_triage.rs
@@ -0,0 +1,105 @@
+//! Which sets keep their goals, and which late ones are worth keeping.
+//!
+//! Answers to this load pattern: for some seconds more requests come than the
+//! targets can serve. In the order of their goals alone all of them would be a
+//! little late, and what is late afterwards would keep new requests from being
+//! on time.
+
+use super::{
+    SetFailure, SetNumber, StageQueue, StageSet,
+    queue_order::{LOWEST_RANK, urgency},
+    stage_queue::count,
+};
+use crate::{clock::ClockTime, policy::numbers};
+
+/// Parts that the cost of a piece consists of at the highest rank. Each lower
+/// rank adds one: in a burst lower ranks are late a little more often.
+const RANK_BASE: usize = 4;
+/// Part of the targets' time that late requests are counted on to get, when
+/// they have got less of late. Bursts are shorter than the deadlines.
+const LATE_SHARE: f64 = 0.1;
+
+impl StageQueue {
+    /// When the pieces of a set are done at the earliest: in a call of their
+    /// own that starts now.
+    pub(super) fn least_end(&self, set: &StageSet, now: ClockTime) -> ClockTime {
+        let pieces = count(set.pieces).min(self.service.batch);
+        now + numbers::span(self.service.call_time(pieces))
+    }
+
+    /// Whether a set can't meet its goal any more, whatever else waits.
+    pub(super) fn is_hopeless(&self, set: &StageSet, now: ClockTime) -> bool {
+        set.goal_at < self.least_end(set, now)
+    }
+
+    /// Gives up the goals of sets that would be late, as few as it takes for
+    /// the others to be on time. Served in the order of their goals alone, all
+    /// sets of an overload would be a little late.
+    pub(super) fn give_up_goals(&mut self, now: ClockTime) {
+        let mut due: Vec<(ClockTime, SetNumber)> = Vec::new();
+        for (number, set) in &self.sets {
+            if !set.is_late && !set.waiting.is_empty() {
+                due.push((urgency(&set.set, set.set.goal_at), *number));
+            }
+        }
+        due.sort_unstable();
+        let mut kept: Vec<SetNumber> = Vec::new();
+        let mut pieces = 0;
+        for (_, number) in due {
+            kept.push(number);
+            pieces += self.sets[&number].waiting.len();
+            if now + self.drain_time(pieces, now) <= self.sets[&number].set.goal_at {
+                continue;
+            }
+            let costliest = kept.iter().enumerate().max_by_key(|(_, number)| {
+                let set = &self.sets[number];
+                let rank = usize::from(set.set.priority.min(LOWEST_RANK));
+                (
+                    set.set.refusable,
+                    set.waiting.len() * (RANK_BASE + rank),
+                    set.arrived_at,
+                )
+            });
+            let Some((place, _)) = costliest else {
+                continue;
+            };
+            let given_up = kept.remove(place);
+            if let Some(set) = self.sets.get_mut(&given_up) {
+                pieces -= set.waiting.len();
+                set.is_late = true;
+            }
+        }
+    }
+
+    /// Sets of late requests that won't be done in their time, at the pace at
+    /// which late requests are served.
+    pub(super) fn crowded(&self, now: ClockTime) -> Vec<(SetNumber, SetFailure)> {
+        let mut late: Vec<_> = self
+            .sets
+            .iter()
+            .filter(|(_, set)| set.is_late && set.waiting.len() == set.results.len())
+            .map(|(number, set)| {
+                let due = (set.set.refusable, set.set.dead_at);
+                (due, *number, set.waiting.len())
+            })
+            .collect();
+        late.sort_unstable();
+        let batch = self.service.batch;
+        let call_ms = self.service.call_time(batch);
+        let usual = numbers::count(batch) / call_ms * self.open_places(now).max(1.0);
+        let pace = self.late_pace.per_ms(now).max(usual * LATE_SHARE);
+        let mut pieces = 0;
+        let mut crowded = Vec::new();
+        for ((_, dead_at), number, waiting) in late {
+            let wait = numbers::span(numbers::count(pieces) / pace + call_ms);
+            let end = now + wait;
+            if end > dead_at {
+                let retry_after = dead_at.until(end);
+                crowded.push((number, SetFailure::Crowded { retry_after }));
+            } else {
+                pieces += waiting;
+            }
+        }
+        crowded
+    }
+}
--- a/crates/core/src/staging/queued_set.rs
+++ b/crates/core/src/staging/queued_set.rs
@@ -11,4 +11,6 @@
     pub(super) results: Vec<Option<String>>,
     pub(super) missing: u32,
     pub(super) retries: u32,
+    /// Whether its goal was given up. It stays so.
+    pub(super) is_late: bool,
 }
--- a/crates/core/src/staging/set_end.rs
+++ b/crates/core/src/staging/set_end.rs
@@ -1,10 +1,16 @@
 use super::SetNumber;
+use crate::clock::TimeSpan;
 
 /// Why a set of pieces brought no results.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SetFailure {
     /// Its time is over.
     Late,
+    /// More late sets wait than there will be time for.
+    Crowded {
+        /// When there will be.
+        retry_after: TimeSpan,
+    },
     /// Results that it needs no longer exist.
     InputGone,
     /// Its pieces failed as often as they may be tried.
--- a/crates/core/src/staging/shard_map.rs
+++ b/crates/core/src/staging/shard_map.rs
@@ -5,9 +5,9 @@
 };
 
 /// Targets of a service that one node collects for at most. A collector of a
-/// whole service fills calls best; more targets than this are a load that a
-/// small VM can't carry.
-const SHARD_TARGETS: usize = 8;
+/// whole service fills calls best and lets no target wait beside a queue; the
+/// work for more targets than this takes a quarter of the largest VMs.
+const SHARD_TARGETS: usize = 16;
 
 /// Which node collects the pieces for which targets of a service.
 ///
@@ -18,6 +18,7 @@
 #[derive(Clone, Debug)]
 pub struct ShardMap {
     owners: Vec<NodeId>,
+    targets: usize,
 }
 
 impl ShardMap {
@@ -26,10 +27,9 @@
     #[must_use]
     pub fn new(service: &PoolName, targets: usize, members: &[(NodeId, f64)]) -> Self {
         let shards = targets.div_ceil(SHARD_TARGETS).max(1);
-        let owners = (0..shards)
-            .filter_map(|shard| Self::owner(service, shard, members))
-            .collect();
-        Self { owners }
+        let owners = weighted_order(service.as_str(), members);
+        let owners = owners.into_iter().take(shards).cloned().collect();
+        Self { owners, targets }
     }
 
     /// Number of shards. None without members.
@@ -44,12 +44,14 @@
         self.owners.is_empty()
     }
 
-    /// Owner of the shard that a request belongs to.
+    /// Owner of the shard that a request belongs to. Each has as large a share
+    /// of the requests as of the targets.
     #[must_use]
     pub fn owner_of_request(&self, request: &str) -> Option<&NodeId> {
-        let count = u64::try_from(self.owners.len()).ok()?;
-        let shard = rendezvous::text_hash(request).checked_rem(count)?;
-        self.owners.get(usize::try_from(shard).ok()?)
+        let count = u64::try_from(self.targets.max(self.owners.len())).ok()?;
+        let place = rendezvous::text_hash(request).checked_rem(count)?;
+        let place = usize::try_from(place).ok()?;
+        self.owners.get(place.checked_rem(self.owners.len())?)
     }
 
     /// The part of `targets`, given in order, that `node` collects for.
@@ -62,9 +64,4 @@
         });
         owned.map(|(_, target)| target.clone()).collect()
     }
-
-    fn owner(service: &PoolName, shard: usize, members: &[(NodeId, f64)]) -> Option<NodeId> {
-        let key = format!("{service}#{shard}");
-        weighted_order(&key, members).first().copied().cloned()
-    }
 }
--- a/crates/core/src/staging/stage_queue.rs
+++ b/crates/core/src/staging/stage_queue.rs
@@ -2,8 +2,8 @@
 
 use super::{
     CallNumber, QueueBacklog, SetEnd, SetFailure, SetNumber, StageCall, StageRefusal, StageSet,
-    held_results::HeldResults, queue_target::QueueTarget, queued_set::QueuedSet,
-    running_call::RunningCall,
+    held_results::HeldResults, late_pace::LatePace, queue_target::QueueTarget,
+    queued_set::QueuedSet, running_call::RunningCall,
 };
 use crate::{
     clock::{ClockTime, TimeSpan},
@@ -54,6 +54,7 @@
     pub(super) next_call: u64,
     /// Earliest start of the next call that isn't full.
     pub(super) next_start: ClockTime,
+    pub(super) late_pace: LatePace,
 }
 
 impl StageQueue {
@@ -70,6 +71,7 @@
             next_set: 0,
             next_call: 0,
             next_start: ClockTime::ZERO,
+            late_pace: LatePace::default(),
         }
     }
 
@@ -126,6 +128,7 @@
         }
         let number = SetNumber(self.next_set);
         self.next_set += 1;
+        let is_late = self.is_hopeless(&set, now);
         self.sets.insert(
             number,
             QueuedSet {
@@ -135,6 +138,7 @@
                 missing: set.pieces,
                 set,
                 retries: 0,
+                is_late,
             },
         );
         Ok(number)
@@ -151,13 +155,12 @@
     /// less than the first of them has waited, whatever keeps it.
     #[must_use]
     pub fn backlog(&self, now: ClockTime) -> QueueBacklog {
-        let least = self.least_end(now);
         let (mut on_time, mut total) = (0, 0);
         let mut oldest = TimeSpan::ZERO;
         for number in self.order(now) {
             let set = &self.sets[&number];
             total += set.waiting.len();
-            if set.set.goal_at >= least {
+            if !set.is_late {
                 on_time += set.waiting.len();
                 oldest = oldest.max(now.since(set.arrived_at));
             }
@@ -180,17 +183,19 @@
         self.targets.get(target).map(|target| &target.zone)
     }
 
-    /// Sets that wait and can't be done in their time any more. They end here.
+    /// Sets that wait and can't be done in their time any more. They end here:
+    /// those whose time is over, and the late ones of which more wait than will
+    /// be done.
     pub fn take_late(&mut self, now: ClockTime) -> Vec<SetEnd> {
-        let least = self.least_end(now);
-        let late: Vec<SetNumber> = self
-            .sets
-            .iter()
-            .filter(|(_, set)| !set.waiting.is_empty() && set.set.dead_at < least)
-            .map(|(number, _)| *number)
-            .collect();
+        let mut late: Vec<(SetNumber, SetFailure)> = Vec::new();
+        for (number, set) in &self.sets {
+            if !set.waiting.is_empty() && set.set.dead_at < self.least_end(&set.set, now) {
+                late.push((*number, SetFailure::Late));
+            }
+        }
+        late.extend(self.crowded(now));
         late.into_iter()
-            .map(|number| self.fail(number, SetFailure::Late))
+            .map(|(number, failure)| self.fail(number, failure))
             .collect()
     }
 
@@ -210,6 +215,7 @@
         for result in self.held.take_expired(now) {
             self.give_room(&result.maker, result.bytes);
         }
+        self.give_up_goals(now);
         let order = self.order(now);
         let waiting: usize = order
             .iter()
@@ -222,6 +228,8 @@
             .iter()
             .find_map(|number| self.pick_target(*number, now))?;
         let pieces = self.fill(&target, &order, now);
+        let late = pieces.iter().filter(|piece| self.sets[&piece.set].is_late);
+        self.late_pace.note(late.count(), now);
         let expected_ms = self.service.call_time(pieces.len());
         let number = CallNumber(self.next_call);
         self.next_call += 1;
--- a/crates/core/tests/gateway_fleet.rs
+++ b/crates/core/tests/gateway_fleet.rs
@@ -1,8 +1,9 @@
 //! Who collects, who reads, and how far nodes agree on it.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use fastrand::Rng;
+
 use verbenahub_core::{
     clock::{ClockTime, TimeSpan},
     fleet::{FleetMember, FleetTable, GossipPace, ReaderPlan, ReaderRank},
@@ -85,6 +86,32 @@
     }
 }
 
+#[test]
+fn collectors_get_requests_in_proportion_to_their_targets() {
+    let members = members(9);
+    for count in [17, 33, 50] {
+        let service = PoolName::new("billing").expect("a name");
+        let targets: Vec<TargetId> = (0..count)
+            .map(|number| TargetId::new(&format!("t{number:02}")).expect("an id"))
+            .collect();
+        let map = ShardMap::new(&service, count, &members);
+        assert!(map.len() > 1);
+        let mut asked = BTreeMap::new();
+        for request in 0..20_000 {
+            let owner = map.owner_of_request(&format!("r{request}"));
+            *asked
+                .entry(owner.expect("an owner").clone())
+                .or_insert(0usize) += 1;
+        }
+        // No node has two shards while others have none.
+        assert_eq!(asked.len(), map.len());
+        for (owner, asked) in asked {
+            let share = 20_000 * map.targets_of(&owner, &targets).len() / count;
+            assert!(asked.abs_diff(share) * 20 < share, "{asked} for {share}");
+        }
+    }
+}
+
 #[test]
 fn service_of_a_few_targets_has_one_collector() {
     let service = PoolName::new("ledger").expect("a name");
--- a/crates/core/tests/gateway_targets.rs
+++ b/crates/core/tests/gateway_targets.rs
@@ -211,25 +211,32 @@
     (0..count).map(|piece| format!("{stage}/{piece}")).collect()
 }
 
+/// An estimate that lets each stage start as soon as it can.
+fn eager(stages: &[GraphStage]) -> PathEstimate {
+    let none = vec![0; stages.len()];
+    PathEstimate::new(stages, &none, |_| None)
+}
+
 #[test]
 fn stages_become_ready_when_all_before_them_are_done() {
     // 0 -> 2 -> 3, and 1 on its own.
     let stages = [stage(&[], 1), stage(&[], 2), stage(&[0], 3), stage(&[2], 4)];
+    let soon = eager(&stages);
     let mut progress = GraphProgress::new(Arc::from(stages), &[1, 2, 3, 1]).expect("they fit");
-    assert_eq!(progress.take_ready(), [0, 1]);
+    assert_eq!(progress.take_ready(&soon), [0, 1]);
     assert_eq!(
-        progress.take_ready(),
+        progress.take_ready(&soon),
         Vec::<usize>::new(),
         "none begins twice"
     );
     progress.finish(0, names(0, 1), at(4_000));
-    assert_eq!(progress.take_ready(), [2]);
+    assert_eq!(progress.take_ready(&soon), [2]);
     assert_eq!(progress.inputs(2), names(0, 1));
     assert!(progress.take_spent().is_empty(), "stage 2 still reads it");
     progress.finish(2, names(2, 3), at(5_000));
     assert_eq!(progress.take_spent().len(), 1);
     assert_eq!(progress.next_expiry(), Some(at(5_000)));
-    assert_eq!(progress.take_ready(), [3]);
+    assert_eq!(progress.take_ready(&soon), [3]);
     progress.finish(3, names(3, 1), at(6_000));
     progress.finish(1, names(1, 2), at(3_000));
     assert!(progress.is_done());
@@ -247,7 +254,8 @@
 fn stage_without_pieces_counts_as_done() {
     let stages: Arc<[GraphStage]> = Arc::from([stage(&[], 1), stage(&[0], 2)]);
     let mut progress = GraphProgress::new(Arc::clone(&stages), &[0, 2]).expect("they fit");
-    assert_eq!(progress.take_ready(), [1]);
+    let soon = eager(&stages);
+    assert_eq!(progress.take_ready(&soon), [1]);
     assert!(progress.inputs(1).is_empty());
     assert!(GraphProgress::new(stages, &[1]).is_none());
 }
@@ -275,3 +283,32 @@
     let added = busy.total().saturating_sub(calm.total()).as_millis();
     assert!((1_800..=2_000).contains(&added), "{added}");
 }
+
+#[test]
+fn short_branch_begins_when_the_long_one_is_nearly_done() {
+    let service = StageService {
+        slots: 1,
+        batch: 10,
+        call_ms: 100.0,
+        piece_ms: 10.0,
+        room: ByteSize::from_mib(1),
+        result_lifetime: TimeSpan::from_secs(4),
+    };
+    // 1 -> 2 -> 3, and 0 with large results that only the request reads.
+    let stages = [
+        stage(&[], 3_000_000),
+        stage(&[], 1),
+        stage(&[1], 2),
+        stage(&[2], 3),
+    ];
+    let pieces = [1, 1, 1, 1];
+    let estimate = PathEstimate::new(&stages, &pieces, |_| Some((service, TimeSpan::ZERO)));
+    let mut progress = GraphProgress::new(Arc::from(stages), &pieces).expect("they fit");
+    assert_eq!(progress.take_ready(&estimate), [1]);
+    progress.finish(1, names(1, 1), at(4_000));
+    let mut begun = progress.take_ready(&estimate);
+    progress.finish(2, names(2, 1), at(5_000));
+    begun.extend(progress.take_ready(&estimate));
+    begun.sort_unstable();
+    assert_eq!(begun, [0, 2, 3], "not left to the end");
+}
--- a/crates/core/tests/stage_queue.rs
+++ b/crates/core/tests/stage_queue.rs
@@ -166,6 +166,74 @@
     assert!(end.pieces >= end.calls * SERVICE.batch * 8 / 10, "{end:?}");
 }
 
+#[test]
+fn overload_makes_few_sets_late_and_not_all_of_them() {
+    // Twice what full calls carry, for three seconds. In the order of goals
+    // alone each would be done just after its goal.
+    let load = arrivals(200, 3);
+    let end = replay(&load, SERVICE.batch, 700, 4_000);
+    // Full calls carry 99 requests a second; nine tenths of them in time.
+    assert!(end.on_time >= 3 * 99 * 9 / 10, "{end:?}");
+}
+
+#[test]
+fn calm_load_after_an_overload_is_on_time_again() {
+    // Three seconds of twice the capacity, then six seconds at half of it.
+    let mut load = arrivals(200, 3);
+    load.extend(arrivals(50, 6).iter().map(|time| 4_000 + time));
+    let both = replay(&load, SERVICE.batch, 700, 6_000);
+    let alone = replay(&load[..600], SERVICE.batch, 700, 6_000);
+    let calm = both.on_time - alone.on_time.min(both.on_time);
+    assert!(calm * 100 >= 300 * 95, "{calm} of 300: {both:?}");
+}
+
+#[test]
+fn late_sets_end_at_once_when_more_wait_than_will_be_served() {
+    let mut queue = queue(SERVICE, 1);
+    let now = at(1_000);
+    // Far more than one target serves within the deadline beside others.
+    let late: Vec<_> = (0..200)
+        .map(|_| queue.offer(set(now, 10, 4_000), now))
+        .collect();
+    let taken = late.iter().flatten().count();
+    let ends = queue.take_late(now);
+    assert!(!ends.is_empty(), "{taken} taken");
+    for end in ends {
+        assert_matches!(
+            end.outcome,
+            Err(SetFailure::Crowded { retry_after }) if !retry_after.is_zero()
+        );
+    }
+    assert!(queue.waiting_pieces() > 0, "some are kept");
+    assert!(queue.take_late(now).is_empty(), "the others have time");
+}
+
+#[test]
+fn call_takes_sets_of_its_zone_before_those_of_others() {
+    let mut queue = queue(SERVICE, 1);
+    let home = |number: usize, now: ClockTime| StageSet {
+        home: Some(zone(number)),
+        ..set(now, 2_000, 9_000)
+    };
+    let now = at(1_000);
+    let away: Vec<_> = (0..6)
+        .map(|_| queue.offer(home(1, now), now).expect("time"))
+        .collect();
+    let near: Vec<_> = (0..4)
+        .map(|_| queue.offer(home(0, now), now).expect("time"))
+        .collect();
+    // All have waited for longer than sets do for their own zone.
+    let later = now + TimeSpan::from_millis(400);
+    let call = queue.plan(later).expect("a call");
+    let called: BTreeSet<SetNumber> = call.pieces.iter().map(|piece| piece.set).collect();
+    assert!(near.iter().all(|number| called.contains(number)));
+    assert_eq!(
+        away.iter().filter(|number| called.contains(number)).count(),
+        1,
+        "only the most urgent one"
+    );
+}
+
 #[test]
 fn sets_that_can_be_on_time_go_before_late_ones() {
     let mut queue = queue(SERVICE, 1);
--- a/crates/gateway/src/staging/stage_desk.rs
+++ b/crates/gateway/src/staging/stage_desk.rs
@@ -130,6 +130,10 @@
                 results,
                 backlog: queue.backlog(shared.now()),
             },
+            Ok(Err(SetFailure::Crowded { retry_after })) => StageAnswer::Refused {
+                retry_after,
+                backlog: queue.backlog(shared.now()),
+            },
             Ok(Err(failure)) => StageAnswer::Failed {
                 reason: format!("{failure:?}"),
             },
--- a/crates/gateway/src/staging/stage_flow.rs
+++ b/crates/gateway/src/staging/stage_flow.rs
@@ -84,7 +84,7 @@
         let mut tasks: Vec<Task<()>> = Vec::new();
         let mut is_first = true;
         loop {
-            for stage in guard.progress.take_ready() {
+            for stage in guard.progress.take_ready(&estimate) {
                 let ask = self.ask(&guard.progress, stage, &estimate, is_first);
                 let (shared, done) = (Shared::clone(self.shared), done.clone());
                 tasks.push(self.shared.tasks.spawn_owned(async move {
