Estimate stages by their calls and waits as they are

The estimate took a set's own call (171 ms) where calls are full and read their inputs. The first stage's backlog said 650 ms while small sets waited for 60: large ones found no room, and the oldest of them stood for all.

Change: `RecentTimes` holds the usual call, its pace against the published one and the usual wait of sets on time; collectors tell the call with their backlog. A rank counts for 100 ms instead of 250. Refused callers are told when all that waits will be done: told only by how much they are late, they come back to a queue as full. News of the store are grouped for 200 ms instead of 100.

Tests: `backlog_tells_how_long_calls_are...` (new; the old backlog gives 800 ms), `stage_load`.

--- a/crates/core/src/staging/mod.rs
+++ b/crates/core/src/staging/mod.rs
@@ -13,6 +13,7 @@
 mod queue_target;
 mod queue_triage;
 mod queued_set;
+mod recent_times;
 mod result_names;
 mod running_call;
 mod set_end;
--- a/crates/core/src/staging/path_estimate.rs
+++ b/crates/core/src/staging/path_estimate.rs
@@ -1,3 +1,4 @@
+use super::QueueBacklog;
 use crate::{
     clock::TimeSpan,
     policy::numbers,
@@ -31,7 +32,7 @@
     #[must_use]
     pub fn new<Known>(stages: &[GraphStage], pieces: &[u32], known: Known) -> Self
     where
-        Known: Fn(&GraphStage) -> Option<(StageService, TimeSpan)>,
+        Known: Fn(&GraphStage) -> Option<(StageService, QueueBacklog)>,
     {
         let own: Vec<f64> = stages
             .iter()
@@ -88,9 +89,11 @@
     }
 }
 
-fn stage_ms(service: &StageService, pieces: u32, backlog: TimeSpan) -> f64 {
+fn stage_ms(service: &StageService, pieces: u32, backlog: QueueBacklog) -> f64 {
     let pieces = usize::try_from(pieces).unwrap_or(usize::MAX);
     let own = service.call_time(pieces.min(service.batch));
     let wait = service.call_time(service.batch) * WAIT_SHARE;
-    own + wait.max(numbers::millis(backlog))
+    // Calls are shared: a small set waits for the pieces of others as well.
+    let call = own.max(numbers::millis(backlog.call));
+    call + wait.max(numbers::millis(backlog.on_time))
 }
--- a/crates/core/src/staging/queue_backlog.rs
+++ b/crates/core/src/staging/queue_backlog.rs
@@ -9,6 +9,8 @@
     pub on_time: TimeSpan,
     /// Time until all that waits and isn't held back will be done.
     pub total: TimeSpan,
+    /// Time that a call takes of late; none if there was no call.
+    pub call: TimeSpan,
 }
 
 impl QueueBacklog {
@@ -18,6 +20,7 @@
         Self {
             on_time: self.on_time.saturating_sub(age),
             total: self.total.saturating_sub(age),
+            call: self.call,
         }
     }
 }
--- a/crates/core/src/staging/queue_ends.rs
+++ b/crates/core/src/staging/queue_ends.rs
@@ -141,6 +141,7 @@
             CallEnd::Answered(ends) => {
                 target.failures = 0;
                 target.observe_pace(took / call.expected_ms.max(1.0));
+                self.recent.note_call(took, call.expected_ms);
                 if ends.contains(&PieceEnd::NoRoom) {
                     target.paused_until = now + NO_ROOM_PAUSE;
                 }
--- a/crates/core/src/staging/queue_order.rs
+++ b/crates/core/src/staging/queue_order.rs
@@ -13,9 +13,9 @@
 /// Part of a full call's time for which a set waits for a target in the zone
 /// of its results. Longer, and the set would miss a whole round of calls.
 const HOME_PATIENCE: f64 = 0.5;
-/// By how much a set of the next lower rank counts as less urgent. About the
-/// time of a call: in a burst lower ranks are late first.
-const PRIORITY_STEP: TimeSpan = TimeSpan::from_millis(250);
+/// By how much a set of the next lower rank counts as less urgent. A third of
+/// a call: ranks decide between sets that are due at about the same time.
+const PRIORITY_STEP: TimeSpan = TimeSpan::from_millis(100);
 /// Lowest rank that is told from those below.
 pub(super) const LOWEST_RANK: u8 = 4;
 
@@ -168,7 +168,7 @@
     pub(super) fn drain_time(&self, pieces: usize, now: ClockTime) -> TimeSpan {
         let last = pieces.clamp(1, self.service.batch);
         self.wait_time(pieces.saturating_sub(last), now)
-            + numbers::span(self.service.call_time(last))
+            + numbers::span(self.service.call_time(last) * self.recent.pace())
     }
 
     /// Expected time until a call starts that comes after `pieces` pieces.
--- a/crates/core/src/staging/queue_triage.rs
+++ b/crates/core/src/staging/queue_triage.rs
@@ -94,8 +94,7 @@
             let wait = numbers::span(numbers::count(pieces) / pace + call_ms);
             let end = now + wait;
             if end > dead_at {
-                let retry_after = dead_at.until(end);
-                crowded.push((number, SetFailure::Crowded { retry_after }));
+                crowded.push((number, SetFailure::Crowded { retry_after: wait }));
             } else {
                 pieces += waiting;
             }
--- a/crates/core/src/staging/set_end.rs
+++ b/crates/core/src/staging/set_end.rs
@@ -8,7 +8,7 @@
     Late,
     /// More late sets wait than there will be time for.
     Crowded {
-        /// When there will be.
+        /// When those before it will be done.
         retry_after: TimeSpan,
     },
     /// Results that it needs no longer exist.
--- a/crates/core/src/staging/stage_queue.rs
+++ b/crates/core/src/staging/stage_queue.rs
@@ -3,7 +3,7 @@
 use super::{
     CallNumber, QueueBacklog, SetEnd, SetFailure, SetNumber, StageCall, StageRefusal, StageSet,
     held_results::HeldResults, late_pace::LatePace, queue_target::QueueTarget,
-    queued_set::QueuedSet, running_call::RunningCall,
+    queued_set::QueuedSet, recent_times::RecentTimes, running_call::RunningCall,
 };
 use crate::{
     clock::{ClockTime, TimeSpan},
@@ -55,6 +55,7 @@
     /// Earliest start of the next call that isn't full.
     pub(super) next_start: ClockTime,
     pub(super) late_pace: LatePace,
+    pub(super) recent: RecentTimes,
 }
 
 impl StageQueue {
@@ -72,6 +73,7 @@
             next_call: 0,
             next_start: ClockTime::ZERO,
             late_pace: LatePace::default(),
+            recent: RecentTimes::default(),
         }
     }
 
@@ -123,8 +125,8 @@
         let ahead = self.pieces_ahead(&set, now);
         let done_at = now + self.drain_time(ahead + count(set.pieces), now);
         if set.refusable && done_at > set.dead_at {
-            let over = set.dead_at.until(done_at);
-            return Err(StageRefusal { retry_after: over });
+            let retry_after = now.until(done_at);
+            return Err(StageRefusal { retry_after });
         }
         let number = SetNumber(self.next_set);
         self.next_set += 1;
@@ -152,22 +154,21 @@
     }
 
     /// How much waits. A new set waits until those before it are done, and not
-    /// less than the first of them has waited, whatever keeps it.
+    /// less than others have waited of late, whatever kept them.
     #[must_use]
     pub fn backlog(&self, now: ClockTime) -> QueueBacklog {
         let (mut on_time, mut total) = (0, 0);
-        let mut oldest = TimeSpan::ZERO;
         for number in self.order(now) {
             let set = &self.sets[&number];
             total += set.waiting.len();
             if !set.is_late {
                 on_time += set.waiting.len();
-                oldest = oldest.max(now.since(set.arrived_at));
             }
         }
         QueueBacklog {
-            on_time: self.wait_time(on_time, now).max(oldest),
-            total: self.wait_time(total, now).max(oldest),
+            on_time: self.wait_time(on_time, now).max(self.recent.wait()),
+            total: self.wait_time(total, now).max(self.recent.wait()),
+            call: self.recent.call(),
         }
     }
 
@@ -230,6 +231,13 @@
         let pieces = self.fill(&target, &order, now);
         let late = pieces.iter().filter(|piece| self.sets[&piece.set].is_late);
         self.late_pace.note(late.count(), now);
+        let mut begun: Vec<SetNumber> = pieces.iter().map(|piece| piece.set).collect();
+        begun.dedup();
+        for set in begun.iter().map(|number| &self.sets[number]) {
+            if !set.is_late {
+                self.recent.note_wait(now.since(set.arrived_at));
+            }
+        }
         let expected_ms = self.service.call_time(pieces.len());
         let number = CallNumber(self.next_call);
         self.next_call += 1;
--- a/crates/core/tests/gateway_targets.rs
+++ b/crates/core/tests/gateway_targets.rs
@@ -7,7 +7,7 @@
     ids::{PoolName, RevisionNumber, TargetId, ZoneName},
     policy::health::CallOutcome,
     routes::{GraphStage, StageService},
-    staging::{GraphProgress, PathEstimate},
+    staging::{GraphProgress, PathEstimate, QueueBacklog},
     targets::{ChoiceAsk, LoadReport, TargetLoads, TargetRecord, TargetState},
     units::ByteSize,
 };
@@ -272,7 +272,10 @@
     };
     let stages = [stage(&[], 1), stage(&[0], 2), stage(&[], 3)];
     let estimate = |backlog: u64| {
-        let backlog = TimeSpan::from_millis(backlog);
+        let backlog = QueueBacklog {
+            on_time: TimeSpan::from_millis(backlog),
+            ..QueueBacklog::default()
+        };
         PathEstimate::new(&stages, &[1, 1, 1], |_| Some((service, backlog)))
     };
     let calm = estimate(0);
@@ -302,7 +305,9 @@
         stage(&[2], 3),
     ];
     let pieces = [1, 1, 1, 1];
-    let estimate = PathEstimate::new(&stages, &pieces, |_| Some((service, TimeSpan::ZERO)));
+    let estimate = PathEstimate::new(&stages, &pieces, |_| {
+        Some((service, QueueBacklog::default()))
+    });
     let mut progress = GraphProgress::new(Arc::from(stages), &pieces).expect("they fit");
     assert_eq!(progress.take_ready(&estimate), [1]);
     progress.finish(1, names(1, 1), at(4_000));
--- a/crates/core/tests/stage_model/stage_day.rs
+++ b/crates/core/tests/stage_model/stage_day.rs
@@ -177,7 +177,7 @@
         let pieces: Vec<u32> = spec.stages.iter().map(|stage| self.draw(stage)).collect();
         let estimate = PathEstimate::new(&stages, &pieces, |stage| {
             let service = &self.services[place_of(&stage.service)];
-            Some((service.spec, service.heard.on_time))
+            Some((service.spec, service.heard))
         });
         let dead_at = self.now + TimeSpan::from_millis(spec.dead_ms);
         if self.now + estimate.total() > dead_at {
--- a/crates/core/tests/stage_queue.rs
+++ b/crates/core/tests/stage_queue.rs
@@ -208,6 +208,34 @@
     assert!(queue.take_late(now).is_empty(), "the others have time");
 }
 
+#[test]
+fn backlog_tells_how_long_calls_are_and_not_what_large_sets_wait_for() {
+    let mut queue = queue(SERVICE, 1);
+    let mut now = at(1_000);
+    // Calls take half again as long as published.
+    for _ in 0..40 {
+        queue.offer(set(now, 900, 9_000), now).expect("time");
+        let call = queue.plan(now).expect("a call");
+        let took = SERVICE.call_time(call.pieces.len()) * 1.5;
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let took = TimeSpan::from_millis(took as u64);
+        now = now + took;
+        queue.finish(call.number, results(&call), now);
+    }
+    // One set finds no room and waits; small ones don't.
+    let large = StageSet {
+        piece_bytes: 100_000_000,
+        ..set(now, 5_000, 9_000)
+    };
+    queue.offer(large, now).expect("time");
+    let later = now + TimeSpan::from_millis(800);
+    assert_eq!(queue.plan(later), None);
+    let backlog = queue.backlog(later);
+    let published = SERVICE.call_time(8);
+    assert!(backlog.call.as_secs_f64() * 1_000.0 > published * 1.4);
+    assert!(backlog.on_time < TimeSpan::from_millis(400), "{backlog:?}");
+}
+
 #[test]
 fn call_takes_sets_of_its_zone_before_those_of_others() {
     let mut queue = queue(SERVICE, 1);
--- a/crates/gateway/src/staging/stage_flow.rs
+++ b/crates/gateway/src/staging/stage_flow.rs
@@ -127,7 +127,7 @@
         PathEstimate::new(&self.route.stages, self.pieces, |stage| {
             let service = self.config.stage_service(&stage.service)?;
             let backlog = self.shared.stages.backlog(&stage.service, now);
-            Some((service, backlog.on_time))
+            Some((service, backlog))
         })
     }
 
--- a/crates/gateway/src/store/feed_reader.rs
+++ b/crates/gateway/src/store/feed_reader.rs
@@ -18,7 +18,7 @@
 const WATCH_WAIT: TimeSpan = TimeSpan::from_millis(800);
 /// Time for which further changes are let come before the next call. Short
 /// against the bounds on applying them.
-const GROUP_TIME: Duration = Duration::from_millis(100);
+const GROUP_TIME: Duration = Duration::from_millis(200);
 /// First pause after a failed call. Doubles with each further one.
 const FIRST_PAUSE: TimeSpan = TimeSpan::from_millis(100);
 /// Longest pause after a failed call. Refused calls count like others.
