Refuse late requests at once while none of them gets a place

Ruled out: a smaller fixed share (after a burst, when there are places, late requests would be refused as well).

Change: `LatePace::trust` takes the expected share back within a second in which late requests wait and none begins. Hopeless sets are marked before goals are given up, so that they push no other out.

Test: `burst_above_the_last_stage...` bounds the refusals after half of the callers' time to a tenth; before the change it fails.

--- a/crates/core/src/staging/path_estimate.rs
+++ b/crates/core/src/staging/path_estimate.rs
@@ -11,8 +11,8 @@
 /// Usual part of a full call that a set of pieces waits for its own to start.
 const WAIT_SHARE: f64 = 0.3;
 
-/// By how much the time of a branch is taken longer than expected, so that it
-/// is seldom the one that the others wait for.
+/// By how much the time of a branch is taken longer than expected: about the
+/// wait for a target that has room, so that the others seldom wait for it.
 const BRANCH_LEAD: f64 = 1.8;
 
 /// What the stages of a request are expected to take.
--- a/crates/core/src/staging/queue_triage.rs
+++ b/crates/core/src/staging/queue_triage.rs
@@ -36,6 +36,17 @@
     /// the others to be on time. Served in the order of their goals alone, all
     /// sets of an overload would be a little late.
     pub(super) fn give_up_goals(&mut self, now: ClockTime) {
+        let hopeless: Vec<SetNumber> = self
+            .sets
+            .iter()
+            .filter(|(_, set)| !set.waiting.is_empty() && self.is_hopeless(&set.set, now))
+            .map(|(number, _)| *number)
+            .collect();
+        for number in hopeless {
+            if let Some(set) = self.sets.get_mut(&number) {
+                set.is_late = true;
+            }
+        }
         let mut due: Vec<(ClockTime, SetNumber)> = Vec::new();
         for (number, set) in &self.sets {
             if !set.is_late && !set.waiting.is_empty() {
@@ -73,7 +84,7 @@
 
     /// Sets of late requests that won't be done in their time, at the pace at
     /// which late requests are served.
-    pub(super) fn crowded(&self, now: ClockTime) -> Vec<(SetNumber, SetFailure)> {
+    pub(super) fn crowded(&mut self, now: ClockTime) -> Vec<(SetNumber, SetFailure)> {
         let mut late: Vec<_> = self
             .sets
             .iter()
@@ -84,10 +95,16 @@
             })
             .collect();
         late.sort_unstable();
+        self.late_pace.note_waiting(!late.is_empty(), now);
         let batch = self.service.batch;
         let call_ms = self.service.call_time(batch);
         let usual = numbers::count(batch) / call_ms * self.open_places(now).max(1.0);
-        let pace = self.late_pace.per_ms(now).max(usual * LATE_SHARE);
+        let expected = usual * LATE_SHARE * self.late_pace.trust(now);
+        let pace = self
+            .late_pace
+            .per_ms(now)
+            .max(expected)
+            .max(f64::MIN_POSITIVE);
         let mut pieces = 0;
         let mut crowded = Vec::new();
         for ((_, dead_at), number, waiting) in late {
--- a/crates/core/src/staging/recent_times.rs
+++ b/crates/core/src/staging/recent_times.rs
@@ -1,6 +1,6 @@
 use crate::{clock::TimeSpan, policy::numbers};
 
-/// Weight of the newest call or wait.
+/// Weight of the newest call or wait: the last ten or so count.
 const NEWEST_WEIGHT: f64 = 0.1;
 
 /// What the calls and waits of a queue have been like of late. Calls are longer
--- a/crates/core/src/staging/stage_queue.rs
+++ b/crates/core/src/staging/stage_queue.rs
@@ -30,8 +30,10 @@
 /// the targets. Calls start one after the other, evenly spread over the time
 /// that a call takes, so that each one collects what has come meanwhile. Sets
 /// that can still meet their goal go first, the most urgent before the others;
-/// then those that can only be late. A set that can't be done before its
-/// deadline is turned away as it arrives.
+/// then those that can only be late. When not all can be on time, as few as
+/// possible give up their goals. A set that can't be done before its deadline
+/// is turned away as it arrives; a late one, as soon as more of them wait than
+/// will be served.
 ///
 /// A late request that has not begun waits here until the stages after this one
 /// have no backlog. Started earlier, its results would take the room of those
--- a/crates/core/tests/stage_load.rs
+++ b/crates/core/tests/stage_load.rs
@@ -126,8 +126,11 @@
     assert!(on_time >= 0.8 * carried, "{on_time} of {carried}: {end:?}");
     // Chats have no part in what is full.
     assert!(part(chat.on_time, chat.asked) >= 0.95, "{chat:?}");
-    // Nobody is kept waiting in vain.
+    // Nobody is kept waiting in vain, and few for long.
     assert_eq!(survey.failed + question.failed + chat.failed, 0, "{end:?}");
+    let refused = survey.refused + question.refused;
+    let refused_late = survey.refused_late + question.refused_late;
+    assert!(part(refused_late, refused) <= 0.1, "{end:?}");
 }
 
 #[test]
--- a/crates/core/tests/stage_model/stage_day.rs
+++ b/crates/core/tests/stage_model/stage_day.rs
@@ -35,6 +35,8 @@
     pub on_time: usize,
     pub late: usize,
     pub refused: usize,
+    /// Those that were refused after half of their time.
+    pub refused_late: usize,
     pub failed: usize,
 }
 
@@ -383,8 +385,11 @@
                 }
                 Err(_) if self.requests[request].is_over => {}
                 Err(failure) => {
-                    let kind = self.requests[request].kind;
-                    let end = &mut self.end.kinds[kind];
+                    let owner = &self.requests[request];
+                    let left = self.now.until(owner.dead_at).as_millis();
+                    let is_slow = left * 2 < self.kinds[owner.kind].dead_ms;
+                    let end = &mut self.end.kinds[owner.kind];
+                    end.refused_late += usize::from(is_slow);
                     match failure {
                         SetFailure::Crowded { .. } => end.refused += 1,
                         _ => end.failed += 1,
