Let `verbenahub check` read the settings of a gateway

Ruled out: telling gateways' files from nodes' by their keys; a misspelt key would change what the file is taken for.

--- a/crates/cli/src/cli/check_command.rs
+++ b/crates/cli/src/cli/check_command.rs
@@ -8,6 +8,7 @@
     records::{Record, RecordId},
     settings::{NodeSettings, SettingOverride},
 };
+use verbenahub_gateway::process::GatewaySettings;
 
 use crate::{consts::FILE_LIMIT, exit_status::ExitStatus, input, tool_error::ToolError, utils};
 
@@ -23,6 +24,9 @@
     /// a setting as the daemon takes it, `key=value`; may be repeated
     #[argh(option)]
     pub set: Vec<SettingOverride>,
+    /// the files are the settings of gateways
+    #[argh(switch)]
+    pub gateway: bool,
     /// write JSON
     #[argh(switch)]
     pub json: bool,
@@ -47,7 +51,12 @@
         let mut report = CheckReport::default();
         for path in input::list_files(&self.files)? {
             let value = input::read_input(&path, FILE_LIMIT)?;
-            report.check_file(&path.display().to_string(), &value, &self.set);
+            let source = path.display().to_string();
+            if self.gateway {
+                report.check_gateway(&source, &value);
+            } else {
+                report.check_file(&source, &value, &self.set);
+            }
         }
         if self.json {
             utils::print_json(&report)?;
@@ -74,6 +83,20 @@
         }
     }
 
+    fn check_gateway(&mut self, source: &str, value: &[u8]) {
+        self.files += 1;
+        let finding = match str::from_utf8(value) {
+            Ok(text) => GatewaySettings::check(source, text),
+            Err(error) => {
+                let place = FindingPlace::whole(source);
+                Some(Finding::invalid(place, error.to_string()))
+            }
+        };
+        if let Some(finding) = finding {
+            self.findings.push(finding);
+        }
+    }
+
     /// Reports two files with the same generation of a record.
     fn note(&mut self, source: &str, record: &Record) {
         let (id, generation) = (record.id(), record.generation());
--- a/crates/cli/tests/tool_files.rs
+++ b/crates/cli/tests/tool_files.rs
@@ -14,6 +14,7 @@
     protocol::{FeedStatus, NodeStatus},
     records::{Record, RecordKey},
 };
+use verbenahub_gateway::process::GatewaySettings;
 
 fn example(name: &str) -> String {
     let path = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../examples");
@@ -78,6 +79,28 @@
     assert_eq!(run_tool(&["--help"]), ExitStatus::Success);
 }
 
+#[test]
+fn check_reads_the_settings_of_a_gateway() {
+    let deployed = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/gateway.toml");
+    assert_eq!(
+        run_tool(&["check", "--gateway", deployed]),
+        ExitStatus::Success
+    );
+    let directory = TempDir::new().expect("a directory");
+    let path = directory.path().join("gateway.toml");
+    fs::write(&path, "log_level = \"info\"\n\nmetrics_prot = 1\n").expect("a file");
+    let source = path.display().to_string();
+    assert_eq!(
+        run_tool(&["check", "--gateway", &source]),
+        ExitStatus::Unmet
+    );
+    let text = fs::read_to_string(&path).expect("a text");
+    let finding = GatewaySettings::check("gateway.toml", &text).expect("a finding");
+    let shown = finding.to_string();
+    assert!(shown.starts_with("gateway.toml:3"), "{shown}");
+    assert!(shown.contains("metrics_prot"), "{shown}");
+}
+
 #[test]
 fn load_mixes_of_the_samples_can_be_used() {
     for name in ["load/pinehollow.toml", "load/sealwise.toml"] {
--- a/crates/gateway/src/process/gateway_settings.rs
+++ b/crates/gateway/src/process/gateway_settings.rs
@@ -7,7 +7,10 @@
 use serde_with::{DisplayFromStr, serde_as};
 use slog::Level;
 use thiserror::Error;
-use verbenahub_core::settings::LogLevel;
+use verbenahub_core::{
+    findings::{Finding, FindingPlace},
+    settings::LogLevel,
+};
 
 /// Port on which metrics are served unless the settings say otherwise. The
 /// usual port of exporters of this format.
@@ -73,6 +76,20 @@
         })
     }
 
+    /// Checks the text of a file named `source` and tells what is wrong with it
+    /// and where.
+    #[must_use]
+    pub fn check(source: &str, text: &str) -> Option<Finding> {
+        let error = toml::from_str::<Self>(text).err()?;
+        let before = error.span().and_then(|span| text.get(..span.start));
+        let line = before.and_then(|before| u32::try_from(before.matches('\n').count() + 1).ok());
+        let place = FindingPlace {
+            line,
+            ..FindingPlace::whole(source)
+        };
+        Some(Finding::invalid(place, error.message().to_owned()))
+    }
+
     /// The level as the logger wants it.
     #[must_use]
     pub fn level(&self) -> Level {
