--- a/crates/gateway/tests/relay.rs
+++ b/crates/gateway/tests/relay.rs
@@ -441,6 +441,18 @@
     assert_eq!(fixture.runs("r1"), 1);
 }
 
+#[test]
+fn answer_that_stalls_is_given_up_at_the_routes_timeout() {
+    let fixture = PlainFixture::start(1, |_: &RawCall| {
+        RawReply::send("HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\nhalf").then(ReplyPart::Silence)
+    });
+    let mut request = CallerRequest::new("POST", "/book/a", "r1");
+    request.deadline_ms = 600;
+    let answer = fixture.ask(&request);
+    assert_eq!(answer.status, 504);
+    assert_eq!(fixture.runs("r1"), 1);
+}
+
 #[test]
 fn each_request_can_be_followed_in_the_log() {
     let fixture = PlainFixture::start(1, done);
