--- a/crates/core/tests/stage_model/stage_day.rs
+++ b/crates/core/tests/stage_model/stage_day.rs
@@ -19,6 +19,8 @@
 
 /// Way between two nodes.
 const HOP_MS: u64 = 4;
+/// Way of a call to its target and back.
+const NETWORK_MS: u64 = 2;
 /// Time between the end of the stages and the first event.
 const ENGINE_MS: u64 = 120;
 /// Time between two looks at what waits elsewhere.
@@ -217,10 +219,7 @@
             return 0;
         }
         let vary = self.rng.f64() + self.rng.f64() + self.rng.f64() - 1.5;
-        let pieces = (stage.pieces * (1.0 + 2.0 * stage.spread * vary)).round();
-        (1..200)
-            .find(|count| f64::from(*count) >= pieces)
-            .unwrap_or(200)
+        whole(stage.pieces * (1.0 + 2.0 * stage.spread * vary)).max(1)
     }
 
     fn go_on(&mut self, number: usize) {
@@ -447,14 +446,16 @@
                 }
             }
         }
-        let whole = millis.round();
-        (0..60_000u32)
-            .find(|count| f64::from(*count) >= whole)
-            .map_or(60_000, u64::from)
-            + 2
+        u64::from(whole(millis)) + NETWORK_MS
     }
 }
 
+// The cast saturates.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn whole(number: f64) -> u32 {
+    number.round() as u32
+}
+
 fn pool(service: usize) -> PoolName {
     PoolName::new(&format!("s{service}")).expect("a name")
 }
