Heed targets that leave or turn requests away, and bound answers without end

Cause: the protocol has three new things. A target may say in an answer that it leaves, while the store calls it ready; it may refuse with a time until which it wants nothing; and bytes that are no answer may have no end. Found on the way, by tests: the body of a refusal, of a stage call and of the note that frees results was read without a bound in time; bytes that end no event kept a stalled stream alive; a stream that was silent for a second was dropped before it was known whether it could go on elsewhere, so that slow sound ones were cut; the reserve of extra attempts was divided by twelve however many nodes share it, which 295 nodes could exceed 24 times.

Change: LeavingTargets keeps notices by run, gossip and follow replies pass them on with their age. TargetLoads closes a target until its time is over; stage calls and the freeing of results heed it too; if all are closed, callers are told the least time, spread by up to 30%. Bodies have bounds in time, answers share 32 MiB while they are read, an event is scanned once, interim responses are counted. A stream stalls after half the time that its caller waits, by events, and is moved only if another target and an attempt are to be had. The reserve is divided by the nodes known.

--- a/crates/core/src/fleet/gossip_pace.rs
+++ b/crates/core/src/fleet/gossip_pace.rs
@@ -25,12 +25,17 @@
         Self { started }
     }
 
+    /// Whether the node has run for long enough to know the others.
+    #[must_use]
+    pub fn is_settled(&self, now: ClockTime) -> bool {
+        now.since(self.started) >= START_SPAN
+    }
+
     /// Time until the next round. `is_supplied` says that the node is ready and
     /// knows that what it holds is current.
     #[must_use]
     pub fn interval(&self, is_supplied: bool, now: ClockTime) -> TimeSpan {
-        let is_new = now.since(self.started) < START_SPAN;
-        if is_supplied && !is_new {
+        if is_supplied && self.is_settled(now) {
             USUAL_INTERVAL
         } else {
             URGENT_INTERVAL
--- a/crates/core/src/policy/retry/traffic_budget.rs
+++ b/crates/core/src/policy/retry/traffic_budget.rs
@@ -12,7 +12,7 @@
 pub struct TrafficBudget {
     credits: AtomicI64,
     earned_each: i64,
-    reserve: i64,
+    reserve: AtomicI64,
 }
 
 impl TrafficBudget {
@@ -24,14 +24,28 @@
         Self {
             credits: AtomicI64::new(reserve),
             earned_each: i64::from(per_mille),
-            reserve,
+            reserve: AtomicI64::new(reserve),
         }
     }
 
+    /// Changes how many attempts may be saved up.
+    pub fn set_reserve(&self, reserve: u32) {
+        let reserve = i64::from(reserve) * ATTEMPT_COST;
+        self.reserve.store(reserve, Ordering::Relaxed);
+        self.credits.fetch_min(reserve, Ordering::Relaxed);
+    }
+
+    /// Whether an extra attempt is left.
+    #[must_use]
+    pub fn has_spare(&self) -> bool {
+        self.credits.load(Ordering::Relaxed) >= ATTEMPT_COST
+    }
+
     /// Counts a first attempt.
     pub fn earn(&self) {
+        let reserve = self.reserve.load(Ordering::Relaxed);
         let update = |credits: i64| {
-            let next = (credits + self.earned_each).min(self.reserve);
+            let next = (credits + self.earned_each).min(reserve);
             (next != credits).then_some(next)
         };
         let _ = self
@@ -52,7 +66,8 @@
 
     /// Gives back an attempt that was not made after all.
     pub fn give_back(&self) {
-        let update = |credits: i64| Some((credits + ATTEMPT_COST).min(self.reserve));
+        let reserve = self.reserve.load(Ordering::Relaxed);
+        let update = |credits: i64| Some((credits + ATTEMPT_COST).min(reserve));
         let _ = self
             .credits
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, update);
--- a/crates/core/src/routes/route_spec.rs
+++ b/crates/core/src/routes/route_spec.rs
@@ -61,6 +61,14 @@
         by_goal.max(by_gap).max(LEAST_SILENCE)
     }
 
+    /// Silence after which a stream that can go on at another target does so.
+    /// Callers leave a silent stream after the longest of three spans; half of
+    /// it is left for the other target to read the prompt again.
+    #[must_use]
+    pub fn stall_limit(&self) -> TimeSpan {
+        TimeSpan::from_millis(self.first_event_limit().as_millis() / 2)
+    }
+
     /// The service of a request whose place in the split is `draw`, from 0 up
     /// to but without 1.
     #[must_use]
--- a/crates/core/src/staging/queue_ends.rs
+++ b/crates/core/src/staging/queue_ends.rs
@@ -37,7 +37,7 @@
                 }
                 done
             }
-            CallEnd::Refused => {
+            CallEnd::Refused { .. } => {
                 for piece in call.pieces {
                     self.requeue(piece);
                 }
@@ -146,7 +146,10 @@
                     target.paused_until = now + NO_ROOM_PAUSE;
                 }
             }
-            CallEnd::Refused => target.paused_until = now + REFUSED_PAUSE,
+            CallEnd::Refused { closed_for } => {
+                let pause = closed_for.unwrap_or_default().max(REFUSED_PAUSE);
+                target.paused_until = now + pause;
+            }
             CallEnd::Failed => {
                 let doublings = target.failures.min(8);
                 target.failures += 1;
--- a/crates/core/src/targets/mod.rs
+++ b/crates/core/src/targets/mod.rs
@@ -2,6 +2,7 @@
 //! the registry is away.
 
 mod choice_ask;
+mod leaving_targets;
 mod load_report;
 mod registry_change;
 mod store_contact;
@@ -9,9 +10,17 @@
 mod target_record;
 mod target_registry;
 mod target_state;
+mod turn_away;
 
 pub use self::{
-    choice_ask::ChoiceAsk, load_report::LoadReport, registry_change::RegistryChange,
-    store_contact::StoreContact, target_loads::TargetLoads, target_record::TargetRecord,
-    target_registry::TargetRegistry, target_state::TargetState,
+    choice_ask::ChoiceAsk,
+    leaving_targets::{LeavingNotice, LeavingTargets},
+    load_report::LoadReport,
+    registry_change::RegistryChange,
+    store_contact::StoreContact,
+    target_loads::TargetLoads,
+    target_record::TargetRecord,
+    target_registry::TargetRegistry,
+    target_state::TargetState,
+    turn_away::TurnAway,
 };
--- a/crates/core/src/targets/target_loads.rs
+++ b/crates/core/src/targets/target_loads.rs
@@ -49,6 +49,8 @@
     in_flight_then: u32,
     health: TargetHealth,
     failures: DecayedMean,
+    /// The run that has turned a request away, and until when.
+    closed: Option<(Option<u64>, ClockTime)>,
 }
 
 impl TargetLoad {
@@ -108,6 +110,35 @@
         load.report = Some(report);
     }
 
+    /// Notes that a target wants no requests for a while.
+    pub fn close(&mut self, record: &TargetRecord, until: ClockTime) {
+        let load = self.loads.entry(record.id.clone()).or_default();
+        let earlier = load.closed.filter(|(run, _)| *run == record.started_at);
+        let until = earlier.map_or(until, |(_, earlier)| until.max(earlier));
+        load.closed = Some((record.started_at, until));
+    }
+
+    /// Time until a target takes requests again that it has turned away.
+    #[must_use]
+    pub fn closed_for(&self, record: &TargetRecord, now: ClockTime) -> TimeSpan {
+        let load = self.loads.get(&record.id);
+        let closed = load.and_then(|load| load.closed);
+        let closed = closed.filter(|(run, _)| *run == record.started_at);
+        closed.map_or(TimeSpan::ZERO, |(_, until)| now.until(until))
+    }
+
+    /// Time until the first of some targets takes requests again, if all of
+    /// them have turned requests away.
+    #[must_use]
+    pub fn all_closed_for(
+        &self,
+        candidates: &[Arc<TargetRecord>],
+        now: ClockTime,
+    ) -> Option<TimeSpan> {
+        let spans = candidates.iter().map(|record| self.closed_for(record, now));
+        spans.min().filter(|span| !span.is_zero())
+    }
+
     /// Forgets targets that are no longer registered and have no requests.
     pub fn retain<Known>(&mut self, is_known: Known)
     where
@@ -157,7 +188,8 @@
     ) -> Vec<&'a Arc<TargetRecord>> {
         let untried = candidates
             .iter()
-            .filter(|record| !ask.tried.contains(&record.id));
+            .filter(|record| !ask.tried.contains(&record.id))
+            .filter(|record| self.closed_for(record, ask.now).is_zero());
         self.without_ejected(untried.collect(), ask.now)
     }
 
--- a/crates/core/tests/stage_queue.rs
+++ b/crates/core/tests/stage_queue.rs
@@ -445,7 +445,7 @@
     for round in 0..10 {
         let call = queue.plan(now).expect("a call");
         let end = if round % 2 == 0 {
-            CallEnd::Refused
+            CallEnd::Refused { closed_for: None }
         } else {
             CallEnd::Answered(vec![PieceEnd::NoRoom; call.pieces.len()])
         };
@@ -514,7 +514,7 @@
     let answer = |end: PieceEnd| CallEnd::Answered(vec![end; call.pieces.len()]);
     match how {
         0 | 1 => results(call),
-        2 => CallEnd::Refused,
+        2 => CallEnd::Refused { closed_for: None },
         3 => CallEnd::Failed,
         _ => answer(PieceEnd::NoRoom),
     }
--- /dev/null
+++ b/crates/core/tests/target_notices.rs
@@ -0,0 +1,125 @@
+//! What targets say of themselves in answers: that they leave, and for how long
+//! they want no requests.
+
+use std::sync::Arc;
+
+use verbenahub_core::{
+    clock::{ClockTime, TimeSpan},
+    ids::{PoolName, RevisionNumber, TargetId, ZoneName},
+    policy::retry::TrafficBudget,
+    targets::{ChoiceAsk, LeavingTargets, TargetLoads, TargetRecord, TargetState, TurnAway},
+};
+
+fn at(millis: u64) -> ClockTime {
+    ClockTime::from_millis(millis)
+}
+
+fn ms(millis: u64) -> TimeSpan {
+    TimeSpan::from_millis(millis)
+}
+
+fn record(id: &str, started_at: Option<u64>) -> Arc<TargetRecord> {
+    Arc::new(TargetRecord {
+        id: TargetId::new(id).expect("an id"),
+        service: PoolName::new("pool").expect("a name"),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        zone: ZoneName::new("z1").expect("a name"),
+        slots: 8,
+        state: TargetState::Ready,
+        started_at,
+        revision: RevisionNumber::new(1),
+    })
+}
+
+#[test]
+fn times_to_come_back_are_seconds_and_nothing_else() {
+    let day = 24 * 60 * 60 * 1_000;
+    for (text, millis) in [
+        ("1", Some(1_000)),
+        (" 2.5 ", Some(2_500)),
+        (".25", Some(250)),
+        ("0", Some(0)),
+        ("0.0001", Some(1)),
+        ("86400", Some(day)),
+        ("99999999999999999999", Some(day)),
+        ("-1", None),
+        ("1e9", None),
+        ("inf", None),
+        ("NaN", None),
+        ("", None),
+        ("soon", None),
+        ("1.2.3", None),
+        ("Fri, 04 Dec 2026 10:00:00 GMT", None),
+    ] {
+        let parsed = text.parse::<TurnAway>();
+        assert_eq!(
+            parsed.ok().map(|turn| turn.span().as_millis()),
+            millis,
+            "{text:?}"
+        );
+    }
+}
+
+#[test]
+fn closed_target_is_left_out_until_its_time_is_over_or_it_starts_again() {
+    let targets = [record("t0", Some(1)), record("t1", Some(1))];
+    let mut loads = TargetLoads::default();
+    loads.close(&targets[0], at(2_000));
+    loads.close(&targets[0], at(1_500));
+    let chosen = |loads: &TargetLoads, targets: &[Arc<TargetRecord>], now| {
+        let ask = ChoiceAsk {
+            now,
+            tried: &[],
+            zone: None,
+            affinity: Some(7),
+            seed: 3,
+        };
+        loads
+            .choose(targets, &ask)
+            .map(|record| record.id.to_string())
+    };
+    assert_eq!(chosen(&loads, &targets[..1], at(1_999)), None);
+    assert_eq!(
+        chosen(&loads, &targets[..1], at(2_000)).as_deref(),
+        Some("t0")
+    );
+    assert_eq!(chosen(&loads, &targets, at(0)).as_deref(), Some("t1"));
+    assert_eq!(loads.all_closed_for(&targets, at(500)), None);
+    loads.close(&targets[1], at(1_000));
+    assert_eq!(loads.all_closed_for(&targets, at(500)), Some(ms(500)));
+    let again = [record("t0", Some(2))];
+    assert_eq!(chosen(&loads, &again, at(0)).as_deref(), Some("t0"));
+}
+
+#[test]
+fn notice_concerns_one_run_and_is_passed_on_with_its_age() {
+    let mut first = LeavingTargets::default();
+    let old = record("t0", Some(1));
+    assert!(first.note(&old.id, old.started_at, TimeSpan::ZERO, at(1_000)));
+    assert!(!first.note(&old.id, old.started_at, TimeSpan::ZERO, at(1_100)));
+    let notices = first.notices(at(5_000));
+    assert_eq!(notices[0].age, ms(4_000));
+    let mut second = LeavingTargets::default();
+    assert_eq!(second.merge(notices, at(70_000)), vec![old.id.clone()]);
+    assert!(second.contains(&old) && !second.contains(&record("t0", Some(2))));
+    assert!(!second.contains(&record("t1", Some(1))));
+    // Handed round, a notice ends all the same.
+    assert!(second.notices(at(70_000 + 116_000)).is_empty());
+    let late = first.notices(at(1_000 + 119_999));
+    assert_eq!(late.len(), 1);
+    assert!(first.notices(at(1_000 + 120_000)).is_empty());
+}
+
+#[test]
+fn reserve_of_extra_attempts_shrinks_as_more_nodes_share_it() {
+    let budget = TrafficBudget::new(200, 50);
+    budget.set_reserve(2);
+    let spent = (0..10).filter(|_| budget.try_spend()).count();
+    assert_eq!(spent, 2);
+    assert!(!budget.has_spare());
+    for _ in 0..100 {
+        budget.earn();
+    }
+    let spent = (0..10).filter(|_| budget.try_spend()).count();
+    assert_eq!(spent, 2);
+}
--- a/crates/gateway/src/front/caller_connection.rs
+++ b/crates/gateway/src/front/caller_connection.rs
@@ -102,7 +102,7 @@
             Some(Ok(Some(head))) => head,
             Some(Ok(None) | Err(HeadError::Io(_) | HeadError::Truncated)) => return Ok(None),
             Some(Err(HeadError::TooLarge(_))) => return Err(OwnAnswer::head_too_large()),
-            Some(Err(HeadError::Syntax(_) | HeadError::Framing(_))) => {
+            Some(Err(HeadError::Syntax(_) | HeadError::Framing(_) | HeadError::Interim)) => {
                 return Err(OwnAnswer::malformed());
             }
             None => return Err(OwnAnswer::slow_request()),
--- a/crates/gateway/src/front/event_splitter.rs
+++ b/crates/gateway/src/front/event_splitter.rs
@@ -14,6 +14,10 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
+    /// Start of the first line of the buffer that has not ended yet.
+    line_start: usize,
+    /// Bytes of the buffer that were looked at.
+    seen: usize,
 }
 
 impl EventSplitter {
@@ -32,7 +36,9 @@
 
     /// The next whole event, its end included.
     pub fn next_event(&mut self) -> Option<Bytes> {
-        let end = event_end(&self.buffer)?;
+        let end = self.event_end()?;
+        self.line_start = 0;
+        self.seen = 0;
         Some(self.buffer.split_to(end).freeze())
     }
 
@@ -44,12 +50,36 @@
 
     /// What is held of an event that did not end.
     pub fn take_rest(&mut self) -> Bytes {
+        self.line_start = 0;
+        self.seen = 0;
         self.buffer.split().freeze()
     }
 
     /// Forgets what is held.
     pub fn clear(&mut self) {
         self.buffer.clear();
+        self.line_start = 0;
+        self.seen = 0;
+    }
+
+    /// Position after the empty line that ends the first event. Each byte is
+    /// looked at once, however small the parts in which it comes.
+    fn event_end(&mut self) -> Option<usize> {
+        loop {
+            let unseen = self.buffer.get(self.seen..)?;
+            let Some(line) = unseen.iter().position(|byte| *byte == b'\n') else {
+                self.seen = self.buffer.len();
+                return None;
+            };
+            let end = self.seen + line;
+            let text = &self.buffer[self.line_start..end];
+            let is_empty = text.is_empty() || text == b"\r";
+            self.line_start = end + 1;
+            self.seen = end + 1;
+            if is_empty {
+                return Some(end + 1);
+            }
+        }
     }
 }
 
@@ -60,17 +90,3 @@
     let value = lines.find_map(|line| line.strip_prefix(b"id:"))?;
     std::str::from_utf8(value).ok().map(str::trim)
 }
-
-/// Position after the empty line that ends the first event.
-fn event_end(buffer: &[u8]) -> Option<usize> {
-    let mut start = 0;
-    loop {
-        let line = buffer[start..].iter().position(|byte| *byte == b'\n')?;
-        let end = start + line;
-        let is_empty = line == 0 || (line == 1 && buffer[start] == b'\r');
-        start = end + 1;
-        if is_empty {
-            return Some(start);
-        }
-    }
-}
--- a/crates/gateway/src/front/plain_flow.rs
+++ b/crates/gateway/src/front/plain_flow.rs
@@ -67,7 +67,9 @@
         exchange.note_outcome(CallOutcome::Failed);
         return Err(SendError::Malformed(defect.to_owned()));
     }
-    if exchange.head.status >= FAILURE_STATUS {
+    if exchange.is_turned_away() {
+        exchange.note_outcome(CallOutcome::Refused);
+    } else if exchange.head.status >= FAILURE_STATUS {
         exchange.note_outcome(CallOutcome::Failed);
     }
     Ok(RelayAnswer {
--- a/crates/gateway/src/front/stream_flow.rs
+++ b/crates/gateway/src/front/stream_flow.rs
@@ -13,9 +13,6 @@
     targets::{SendError, TargetExchange, within},
 };
 
-/// Time after which a silent stream goes on at another target, if it may. Well
-/// above the pauses that a busy engine makes.
-const SILENCE_LIMIT: TimeSpan = TimeSpan::from_millis(1_000);
 /// When a caller may come back whose stages failed.
 const STAGE_RETRY: TimeSpan = TimeSpan::from_millis(300);
 
@@ -149,14 +146,17 @@
 
     async fn pass_events(&mut self, caller: &HttpStream) -> EventsEnd {
         let shared = self.send.shared;
+        // Bytes that end no event are no progress.
+        let mut progress_at = shared.now();
         loop {
-            let left = self.send.request.left(shared.now());
+            let now = shared.now();
+            let left = self.send.request.left(now);
             if left.is_zero() {
                 return EventsEnd::TimeOver;
             }
-            let can_resume = self.send.request.route.resumable && self.send.may_resume();
-            let patience = if can_resume {
-                SILENCE_LIMIT.min(left)
+            let patience = if self.send.may_move() {
+                let silence = self.send.request.route.stall_limit();
+                now.until(progress_at + silence).min(left)
             } else {
                 left
             };
@@ -165,6 +165,10 @@
                 Some(Ok(None)) => return self.finish(),
                 Some(Err(error)) => return EventsEnd::Broken(error),
                 None if patience < left => {
+                    if !self.send.can_move() {
+                        progress_at = shared.now();
+                        continue;
+                    }
                     self.exchange.note_outcome(CallOutcome::Stalled);
                     return EventsEnd::Silent;
                 }
@@ -181,6 +185,7 @@
             if chunk.is_empty() {
                 continue;
             }
+            progress_at = shared.now();
             match within(left, caller.write(&encode_chunk(&chunk))).await {
                 Some(Ok(())) => {}
                 Some(Err(error)) => return EventsEnd::CallerGone(error.to_string()),
--- a/crates/gateway/src/front/target_send.rs
+++ b/crates/gateway/src/front/target_send.rs
@@ -16,11 +16,16 @@
 };
 use crate::{
     process::Shared,
-    targets::{ExchangeAsk, SendError, TargetExchange},
+    targets::{ExchangeAsk, SendError, TargetExchange, within},
 };
 
 /// Targets that are tried at most, those included that can't be reached.
 const TRIES: usize = 4;
+/// Time for the body of a refusal, which comes at once or is no use.
+const REFUSAL_TIMEOUT: TimeSpan = TimeSpan::from_millis(100);
+/// Part by which times to come back differ, so that callers that are told the
+/// same don't come back at the same instant.
+const RETURN_SPREAD_PERCENT: u64 = 30;
 /// When a caller may come back whose request no target takes.
 const REFUSED_RETRY: TimeSpan = TimeSpan::from_millis(150);
 /// Multiple of a route's goal after which the first of several attempts at a
@@ -68,9 +73,18 @@
         self.ledger.tries() < TRIES && self.ledger.may_send(route.may_repeat(), route.attempts)
     }
 
-    /// Whether a stream may go on at another target if this one falls silent.
-    pub(super) fn may_resume(&self) -> bool {
-        self.ledger.sends() < self.request.route.attempts && self.ledger.tries() < TRIES
+    /// Whether the route lets a stream go on at another target.
+    pub(super) fn may_move(&self) -> bool {
+        self.request.route.resumable
+            && self.ledger.sends() < self.request.route.attempts
+            && self.ledger.tries() < TRIES
+    }
+
+    /// Whether a stream that has stalled can go on elsewhere now: another target
+    /// takes work and the budget for extra attempts isn't spent. A slow stream
+    /// is better than a broken one.
+    pub(super) fn can_move(&self) -> bool {
+        self.may_move() && self.shared.retries.has_spare() && self.choose().is_some()
     }
 
     /// Takes an attempt beyond the first from the budget.
@@ -129,7 +143,7 @@
     /// The gateway's answer to a request that it gives up on.
     pub(super) fn give_up(&self, code: &'static str) -> OwnAnswer {
         if let Some(proof) = self.ledger.not_run() {
-            return OwnAnswer::not_run(proof, code, REFUSED_RETRY);
+            return OwnAnswer::not_run(proof, code, self.return_time());
         }
         if self.request.left(self.shared.now()).is_zero() {
             return OwnAnswer::timed_out();
@@ -137,6 +151,17 @@
         OwnAnswer::outcome_unknown()
     }
 
+    /// When a caller may come back that no target has served: when the first
+    /// one takes requests again.
+    fn return_time(&self) -> TimeSpan {
+        let candidates = self.shared.ready_targets(&self.request.service);
+        let loads = self.shared.loads.borrow();
+        let closed = loads.all_closed_for(&candidates, self.shared.now());
+        let least = closed.unwrap_or_default().max(REFUSED_RETRY);
+        let most_extra = least.as_millis() * RETURN_SPREAD_PERCENT / 100;
+        least + TimeSpan::from_millis(self.shared.random() % (most_extra + 1))
+    }
+
     async fn send(
         &mut self,
         record: &Arc<TargetRecord>,
@@ -214,7 +239,9 @@
 
     /// Reads a refusal to its end, so that its connection can be used again.
     async fn drain(&self, mut exchange: TargetExchange) {
-        if let Err(error) = exchange.collect().await {
+        let limit = REFUSAL_TIMEOUT.min(self.request.left(self.shared.now()));
+        let read = within(limit, exchange.collect()).await;
+        if let Err(error) = read.unwrap_or(Err(SendError::Stalled)) {
             slog::debug!(self.shared.log, "request: Refusal broke off.";
                 "request" => &self.request.id, "error" => %error);
         }
--- a/crates/gateway/src/http/head_error.rs
+++ b/crates/gateway/src/http/head_error.rs
@@ -15,6 +15,9 @@
     /// The head is larger than allowed.
     #[error("head of more than {0} bytes")]
     TooLarge(usize),
+    /// More interim responses than any server sends.
+    #[error("interim responses without end")]
+    Interim,
     /// The head is not HTTP/1.1.
     #[error("not HTTP/1.1: {0}")]
     Syntax(#[from] httparse::Error),
--- a/crates/gateway/src/http/http_stream.rs
+++ b/crates/gateway/src/http/http_stream.rs
@@ -17,6 +17,8 @@
 const HEADER_COUNT: usize = 96;
 /// Largest head of a response.
 const RESPONSE_HEAD_BYTES: usize = 64 << 10;
+/// Interim responses before a response at most.
+const INTERIM_RESPONSES: usize = 16;
 /// Time after which the kernel gives up on bytes that the peer doesn't
 /// acknowledge. Shorter than the deadlines of requests.
 const SEND_TIMEOUT_MS: u32 = 4_000;
@@ -108,11 +110,16 @@
     ///
     /// Fails when the connection breaks or ends, or the head is malformed.
     pub async fn read_response(&mut self) -> Result<ResponseHead, HeadError> {
+        let mut interim = 0;
         loop {
             if let Some(head) = self.parse_response()? {
                 if head.status >= 200 {
                     return Ok(head);
                 }
+                interim += 1;
+                if interim > INTERIM_RESPONSES {
+                    return Err(HeadError::Interim);
+                }
                 continue;
             }
             if self.buffer.len() > RESPONSE_HEAD_BYTES {
--- a/crates/gateway/src/peers/gossip_message.rs
+++ b/crates/gateway/src/peers/gossip_message.rs
@@ -4,7 +4,7 @@
     fleet::FleetMember,
     ids::RevisionNumber,
     routes::RouteConfig,
-    targets::{RegistryChange, TargetRecord},
+    targets::{LeavingNotice, RegistryChange, TargetRecord},
 };
 
 use crate::process::GatewayState;
@@ -29,6 +29,8 @@
     pub members: Vec<FleetMember>,
     /// What it holds.
     pub holding: HoldingNote,
+    /// Targets that have said in an answer that they leave.
+    pub leaving: Vec<LeavingNotice>,
 }
 
 /// Asks for what is newer than what a node holds, as soon as there is any.
@@ -58,6 +60,8 @@
     pub config: Option<RouteConfig>,
     /// Its targets, if they are newer.
     pub targets: Option<TargetNews>,
+    /// Targets that have said in an answer that they leave.
+    pub leaving: Vec<LeavingNotice>,
 }
 
 /// Answer to a round of gossip.
@@ -102,6 +106,7 @@
         Self {
             members: state.fleet.borrow().telling(),
             holding: HoldingNote::of(state, now),
+            leaving: state.leaving.borrow().notices(now),
         }
     }
 }
@@ -123,12 +128,14 @@
             holding,
             config: config.map(|held| RouteConfig::clone(&held)),
             targets,
+            leaving: state.leaving.borrow().notices(now),
         }
     }
 
     /// Takes over what this node lacks. Returns whether the other node is in
     /// contact with the store.
     pub fn apply(self, state: &GatewayState, source: &str, now: ClockTime) -> bool {
+        state.merge_leaving(self.leaving, source);
         if let Some(config) = self.config {
             state.adopt(config, "peer");
         }
--- a/crates/gateway/src/peers/gossip_round.rs
+++ b/crates/gateway/src/peers/gossip_round.rs
@@ -46,6 +46,9 @@
             let members = self.shared.fleet.borrow_mut().round(self.shared.now());
             let others = i64::try_from(members.len()).unwrap_or(i64::MAX);
             self.shared.metrics.members.set(others);
+            if self.pace.is_settled(self.shared.now()) {
+                self.shared.share_reserve(members.len());
+            }
             if let Some((node, address)) = self.next_peer() {
                 self.exchange(node, address).await;
             }
--- a/crates/gateway/src/peers/peer_front.rs
+++ b/crates/gateway/src/peers/peer_front.rs
@@ -94,6 +94,7 @@
                     news: NewsReply::to(&self.shared, &note.holding, now),
                 };
                 self.shared.fleet.borrow_mut().merge(note.members, now);
+                self.shared.merge_leaving(note.leaving, "gossip");
                 self.encode(&reply)
             }
             path if path == STAGE_PATH.as_bytes() => {
--- a/crates/gateway/src/process/gateway_state.rs
+++ b/crates/gateway/src/process/gateway_state.rs
@@ -16,16 +16,22 @@
     policy::retry::TrafficBudget,
     routes::{CallerPatience, RouteConfig, RouteSpec},
     settings::GatewayProfile,
-    targets::{StoreContact, TargetLoads, TargetRecord, TargetRegistry},
+    targets::{
+        LeavingNotice, LeavingTargets, StoreContact, TargetLoads, TargetRecord, TargetRegistry,
+    },
 };
 
 use super::{GatewayClock, GatewayMetrics, LocalTasks, WorkCounter};
 use crate::{
     peers::PeerClient,
     staging::{ResultDesk, StageClient, StageDesk},
-    targets::ChannelPool,
+    targets::{AnswerRoom, ChannelPool},
 };
 
+/// Parts into which the reserve of extra attempts is divided at least, so that
+/// the cut-off parts of a small fleet keep to it as well.
+const LEAST_RESERVE_SHARES: usize = 12;
+
 /// Everything that the parts of the process share. The process has one thread.
 pub type Shared = Rc<GatewayState>;
 
@@ -44,6 +50,8 @@
     pub config: RefCell<Option<Rc<RouteConfig>>>,
     /// Registered targets.
     pub registry: RefCell<TargetRegistry>,
+    /// Targets that have said in an answer that they leave.
+    pub leaving: RefCell<LeavingTargets>,
     /// Load and health of targets.
     pub loads: RefCell<TargetLoads>,
     /// Other gateways.
@@ -56,6 +64,8 @@
     pub contact: RefCell<StoreContact>,
     /// Idle connections to targets.
     pub channels: ChannelPool,
+    /// Memory for answers of targets while they are read.
+    pub answer_room: AnswerRoom,
     /// Calls to other gateways.
     pub peers: PeerClient,
     /// Queues of the stages that this node collects for.
@@ -105,11 +115,13 @@
             fleet: RefCell::new(FleetTable::new(own)),
             config: RefCell::default(),
             registry: RefCell::default(),
+            leaving: RefCell::default(),
             loads: RefCell::default(),
             changes: Cell::new(0),
             changed: Event::new(),
             contact: RefCell::default(),
             channels: ChannelPool::default(),
+            answer_room: AnswerRoom::default(),
             peers: PeerClient::default(),
             desk: StageDesk::default(),
             results: ResultDesk::default(),
@@ -181,7 +193,37 @@
     #[must_use]
     pub fn ready_targets(&self, service: &PoolName) -> Vec<Arc<TargetRecord>> {
         let registry = self.registry.borrow();
-        registry.ready(service).map(Arc::clone).collect()
+        let leaving = self.leaving.borrow();
+        let ready = registry.ready(service);
+        let staying = ready.filter(|record| !leaving.contains(record));
+        staying.map(Arc::clone).collect()
+    }
+
+    /// Takes note that a target has said that it leaves. It gets no new
+    /// requests, whatever the store says of it.
+    pub fn note_leaving(&self, record: &TargetRecord) {
+        let mut leaving = self.leaving.borrow_mut();
+        let now = self.now();
+        let is_news = leaving.note(&record.id, record.started_at, TimeSpan::ZERO, now);
+        drop(leaving);
+        if is_news {
+            slog::info!(self.log, "targets: Leaves.";
+                "target" => %record.id, "service" => %record.service, "source" => "answer");
+            self.note_changes();
+        }
+    }
+
+    /// Takes over which targets have told other nodes that they leave.
+    pub fn merge_leaving(&self, notices: Vec<LeavingNotice>, source: &str) {
+        let news = self.leaving.borrow_mut().merge(notices, self.now());
+        if news.is_empty() {
+            return;
+        }
+        for target in &news {
+            slog::info!(self.log, "targets: Leaves.";
+                "target" => %target, "source" => "peer", "peer" => source);
+        }
+        self.note_changes();
     }
 
     /// Takes note of a caller's deadline. Returns how long ago it has probably
@@ -192,6 +234,18 @@
         callers.note(deadline)
     }
 
+    /// Takes over this node's part of the extra attempts that all nodes may save
+    /// up together, now that `nodes` are known.
+    pub fn share_reserve(&self, nodes: usize) {
+        let shares = nodes.max(LEAST_RESERVE_SHARES);
+        let shares = u32::try_from(shares).unwrap_or(u32::MAX);
+        let part = self.profile.retry_reserve / f64::from(shares);
+        // The cast saturates.
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let part = part as u32;
+        self.retries.set_reserve(part.max(1));
+    }
+
     /// A random number.
     #[must_use]
     pub fn random(&self) -> u64 {
@@ -205,18 +259,12 @@
     }
 }
 
-/// This node's part of the extra attempts that all nodes may make together.
-/// The reserve is shared between the most nodes that may be there.
+/// The extra attempts of this node. The reserve is none but one attempt until it
+/// is known how many nodes share it.
 fn retry_budget(profile: &GatewayProfile) -> TrafficBudget {
-    /// Nodes that share the reserve. More than run today, so that cut-off
-    /// nodes that don't know of each other keep to it as well.
-    const RESERVE_SHARES: f64 = 12.0;
     const PER_MILLE: f64 = 1_000.0;
-    // The casts saturate.
+    // The cast saturates.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    let (per_mille, reserve) = (
-        (profile.retry_ratio * PER_MILLE) as u32,
-        (profile.retry_reserve / RESERVE_SHARES) as u32,
-    );
-    TrafficBudget::new(per_mille, reserve.max(1))
+    let per_mille = (profile.retry_ratio * PER_MILLE) as u32;
+    TrafficBudget::new(per_mille, 1)
 }
--- a/crates/gateway/src/staging/result_desk.rs
+++ b/crates/gateway/src/staging/result_desk.rs
@@ -14,7 +14,7 @@
     http::HeaderList,
     peers::{FREE_PATH, PeerAck},
     process::Shared,
-    targets::{ExchangeAsk, TargetExchange},
+    targets::{ExchangeAsk, SendError, TargetExchange, within},
 };
 
 /// Time over which results are collected before the news of them goes on.
@@ -111,6 +111,12 @@
         let Some(record) = find(shared, maker) else {
             return;
         };
+        let closed = shared.loads.borrow().closed_for(&record, shared.now());
+        if !closed.is_zero() {
+            slog::debug!(shared.log, "stage: Results left to lapse, their maker turns calls away.";
+                "target" => %record.id, "results" => names.len(), "closed_for" => %closed);
+            return;
+        }
         let body = match encode_free(names) {
             Ok(body) => Bytes::from(body),
             Err(error) => {
@@ -134,7 +140,8 @@
             let mut exchange = TargetExchange::begin(shared, &record, ask).await?;
             exchange.collect().await
         };
-        if let Err(error) = sent.await {
+        let sent = within(ANSWER_TIMEOUT, sent).await;
+        if let Err(error) = sent.unwrap_or(Err(SendError::Stalled)) {
             // The maker drops results by itself after a while.
             slog::debug!(shared.log, "stage: Results not freed.";
                 "target" => %record.id, "results" => names.len(), "error" => %error);
--- a/crates/gateway/src/staging/stage_call_run.rs
+++ b/crates/gateway/src/staging/stage_call_run.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use verbenahub_core::{
+    clock::TimeSpan,
     policy::health::CallOutcome,
     staging::{CallEnd, StageCall},
     targets::TargetRecord,
@@ -12,7 +13,7 @@
 use crate::{
     http::HeaderList,
     process::Shared,
-    targets::{ExchangeAsk, SendError, TargetExchange},
+    targets::{ExchangeAsk, SendError, TargetExchange, within},
 };
 
 /// One call to a stage's target, from its plan to its end.
@@ -41,7 +42,7 @@
         let registered = shared.registry.borrow().get(&self.call.target).cloned();
         let end = match registered {
             Some(record) => self.send(shared, &record).await,
-            None => Ok(CallEnd::Refused),
+            None => Ok(CallEnd::Refused { closed_for: None }),
         };
         let (end, label) = match end {
             Ok(end @ CallEnd::Answered(_)) => (end, "answered"),
@@ -64,6 +65,9 @@
         shared: &Shared,
         record: &Arc<TargetRecord>,
     ) -> Result<CallEnd, SendError> {
+        if let closed_for @ Some(_) = Self::closed_for(shared, record) {
+            return Ok(CallEnd::Refused { closed_for });
+        }
         let asks: Vec<Option<Rc<StageAsk>>> = self
             .call
             .pieces
@@ -89,7 +93,7 @@
         // Requests that left between the plan and now take the call with
         // them: the answer could not be told apart otherwise.
         if items.len() < self.call.pieces.len() {
-            return Ok(CallEnd::Refused);
+            return Ok(CallEnd::Refused { closed_for: None });
         }
         let body = encode_run(&items).map_err(|error| SendError::NotSent(error.to_string()))?;
         let body = Bytes::from(body);
@@ -105,16 +109,21 @@
             request: None,
             head_timeout: self.call.timeout,
         };
+        let begun = shared.now();
         let mut exchange = TargetExchange::begin(shared, record, ask).await?;
-        let answer = exchange.collect().await?;
+        let left = self.call.timeout.saturating_sub(shared.now().since(begun));
+        let answer = within(left, exchange.collect()).await;
         if exchange.head.status != 200 {
             if exchange.head.headers.get(headers::NOT_RUN).is_some() {
-                return Ok(CallEnd::Refused);
+                exchange.note_outcome(CallOutcome::Refused);
+                let closed_for = Self::closed_for(shared, record);
+                return Ok(CallEnd::Refused { closed_for });
             }
             exchange.note_outcome(CallOutcome::Failed);
             let status = exchange.head.status;
             return Err(SendError::Malformed(format!("status {status}")));
         }
+        let answer = answer.unwrap_or(Err(SendError::Stalled))?;
         let ends = decode_run(&answer).map_err(|error| SendError::Malformed(error.to_string()))?;
         if ends.len() != items.len() {
             return Err(SendError::Malformed("wrong number of pieces".to_owned()));
@@ -126,4 +135,10 @@
         }
         Ok(CallEnd::Answered(ends))
     }
+
+    /// Time for which the target wants no calls, if it has said so.
+    fn closed_for(shared: &Shared, record: &TargetRecord) -> Option<TimeSpan> {
+        let closed = shared.loads.borrow().closed_for(record, shared.now());
+        Some(closed).filter(|span| !span.is_zero())
+    }
 }
--- a/crates/gateway/src/targets/target_exchange.rs
+++ b/crates/gateway/src/targets/target_exchange.rs
@@ -4,7 +4,7 @@
 use verbenahub_core::{
     clock::TimeSpan,
     policy::health::CallOutcome,
-    targets::{LoadReport, TargetRecord},
+    targets::{LoadReport, TargetRecord, TurnAway},
 };
 use verbenahub_platform::headers;
 
@@ -22,6 +22,8 @@
 const CONNECT_TIMEOUT: TimeSpan = TimeSpan::from_millis(400);
 /// Answers to earlier calls that are skipped on a connection at most.
 const STRAY_ANSWERS: usize = 3;
+/// Status of a target that turns a request away.
+const UNAVAILABLE: u16 = 503;
 /// Largest body of an answer that is read whole.
 const ANSWER_BYTES: usize = 8 << 20;
 
@@ -99,6 +101,10 @@
         match result {
             Ok((stream, head, framing)) => {
                 note_load(shared, record, &head);
+                if head.headers.text(headers::LEAVING).is_some_and(is_set) {
+                    shared.note_leaving(record);
+                }
+                note_turn_away(shared, record, &head);
                 flight.outcome = CallOutcome::Failed;
                 Ok(Self {
                     head,
@@ -172,8 +178,12 @@
     /// Fails when the body doesn't reach its end or is too large.
     pub async fn collect(&mut self) -> Result<Bytes, SendError> {
         let mut whole = BytesMut::new();
+        let mut share = self.shared.answer_room.share();
         while let Some(bytes) = self.next().await? {
-            if whole.len() + bytes.len() > ANSWER_BYTES {
+            let is_bounded = whole.len() + bytes.len() <= ANSWER_BYTES;
+            if !is_bounded || !share.grow(bytes.len()) {
+                self.stream = None;
+                self.flight.outcome = CallOutcome::Failed;
                 return Err(SendError::Malformed("body too large".to_owned()));
             }
             whole.extend_from_slice(&bytes);
@@ -187,6 +197,13 @@
         &self.record
     }
 
+    /// Whether the target turns the call away and says when to come back. That
+    /// is no failure of the target.
+    #[must_use]
+    pub fn is_turned_away(&self) -> bool {
+        turn_away_text(&self.head).is_some()
+    }
+
     /// Counts the call as one that the target has failed, whatever its answer.
     pub fn note_outcome(&mut self, outcome: CallOutcome) {
         self.flight.outcome = outcome;
@@ -275,12 +292,40 @@
     }
 }
 
+/// Whether a header that says yes or no says yes.
+fn is_set(text: &str) -> bool {
+    text.trim() == "1"
+}
+
+/// Takes note of a target that turns a request away for a while.
+fn note_turn_away(shared: &Shared, record: &TargetRecord, head: &ResponseHead) {
+    let Some(text) = turn_away_text(head) else {
+        return;
+    };
+    match text.parse::<TurnAway>() {
+        Ok(turn) => {
+            let until = turn.end(shared.now());
+            shared.loads.borrow_mut().close(record, until);
+            slog::info!(shared.log, "targets: Turns requests away.";
+                "target" => %record.id, "service" => %record.service, "for" => %turn.span());
+        }
+        Err(error) => slog::warn!(shared.log, "targets: Time to come back not usable.";
+            "target" => %record.id, "error" => %error),
+    }
+}
+
+fn turn_away_text(head: &ResponseHead) -> Option<&str> {
+    let is_busy = head.status == UNAVAILABLE;
+    head.headers.text(headers::RETRY_AFTER).filter(|_| is_busy)
+}
+
 fn head_failure(error: &HeadError) -> SendError {
     match error {
         HeadError::Io(_) | HeadError::Truncated => SendError::Broken(error.to_string()),
-        HeadError::TooLarge(_) | HeadError::Syntax(_) | HeadError::Framing(_) => {
-            SendError::Malformed(error.to_string())
-        }
+        HeadError::TooLarge(_)
+        | HeadError::Syntax(_)
+        | HeadError::Framing(_)
+        | HeadError::Interim => SendError::Malformed(error.to_string()),
     }
 }
 
