Read configuration and targets with one call, and leave a start to the seeds

Counted by the lines 'Reads the store' of the twin: each of 18 nodes began to read at its start, since seeds that start in the same moment refuse connections, and again a second later, since a node that knows itself alone ranks first among the readers; 59 beginnings, of which 36 at the two common starts. What is left are the waiting reads of four readers, one for the configuration and one for the targets.

Ruled out: asking peers alone at a start (three seeds would send the whole listing to 300 nodes at once, on links of 20 Mbit/s, in the seconds that count most).

Change: one read and one watch for all keys. A node that starts lists once, follows the seeds for five seconds, and reads only if it is a seed or, after 1.5 s, nobody that it asks is in contact. ReaderPlan decides it from NodeStart.

--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -10,6 +10,6 @@
     fleet_member::FleetMember,
     fleet_table::FleetTable,
     gossip_pace::GossipPace,
-    reader_rank::{ReaderPlan, ReaderRank},
+    reader_rank::{NodeStart, ReaderPlan, ReaderRank},
     weighted_order::weighted_order,
 };
--- a/crates/gateway/src/process/gateway_metrics.rs
+++ b/crates/gateway/src/process/gateway_metrics.rs
@@ -89,7 +89,7 @@
                 PIECE_BUCKETS.to_vec(),
             )?,
             stage_calls: counters(all, "stage_calls", "Calls to stages", &["service", "end"])?,
-            store_calls: counters(all, "store_calls", "Calls to the store", &["prefix", "end"])?,
+            store_calls: counters(all, "store_calls", "Calls to the store", &["end"])?,
             peer_calls: counters(all, "peer_calls", "Calls to gateways", &["purpose", "end"])?,
             in_flight: gauge(all, "requests_in_flight", "Requests in progress")?,
             config_version: gauge(all, "config_version", "Version in force")?,
--- a/crates/gateway/src/store/feed_reader.rs
+++ b/crates/gateway/src/store/feed_reader.rs
@@ -24,48 +24,36 @@
 /// Longest pause after a failed call. Refused calls count like others.
 const LONGEST_PAUSE: TimeSpan = TimeSpan::from_millis(800);
 
-/// One part of the store that is read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum StoreFeed {
-    /// The operator's configuration.
-    Config,
-    /// The registered targets.
-    Targets,
-}
-
-impl StoreFeed {
-    const fn prefix(self) -> &'static str {
-        match self {
-            Self::Config => paths::CONFIG_KEY,
-            Self::Targets => paths::TARGET_PREFIX,
-        }
-    }
-
-    const fn label(self) -> &'static str {
-        match self {
-            Self::Config => "config",
-            Self::Targets => "targets",
-        }
-    }
-}
-
-/// Keeps one part of the store up to date in the shared state.
+/// Keeps what the store holds up to date in the shared state: the operator's
+/// configuration and the registered targets, which one call reads together.
 #[derive(Debug)]
 pub struct FeedReader {
     shared: Shared,
-    feed: StoreFeed,
     client: StoreClient,
 }
 
 impl FeedReader {
-    /// Creates the reader of a part.
+    /// Creates the reader.
     #[must_use]
-    pub fn new(shared: Shared, feed: StoreFeed) -> Self {
+    pub fn new(shared: Shared) -> Self {
         let client = StoreClient::new(shared.profile.store);
-        Self {
-            shared,
-            feed,
-            client,
+        Self { shared, client }
+    }
+
+    /// Lists once, as a node that starts does: others may not know more yet.
+    /// Gives up when the node has learned from others.
+    pub async fn run_once(mut self) {
+        let mut pause = FIRST_PAUSE;
+        while !self.shared.is_ready() {
+            match self.list().await {
+                Ok(_) => return,
+                Err(error) => {
+                    self.count("failed");
+                    slog::info!(self.shared.log, "store: First listing failed.";
+                        "error" => %error);
+                    self.pause(&mut pause).await;
+                }
+            }
         }
     }
 
@@ -79,27 +67,31 @@
             };
             self.count("failed");
             if matches!(error, StoreError::HistoryGone) {
-                slog::info!(self.shared.log, "store: History is gone, listing again.";
-                    "feed" => self.feed.label());
+                slog::info!(self.shared.log, "store: History is gone, listing again.");
             } else {
                 self.note_failure(&error);
-                let jitter = 0.5 + self.shared.random_share() * 0.5;
-                Timer::after(Duration::from(pause).mul_f64(jitter)).await;
-                pause = (pause * 2).min(LONGEST_PAUSE);
+                self.pause(&mut pause).await;
             }
         }
     }
 
+    /// Waits before the next call after a failed one.
+    async fn pause(&self, pause: &mut TimeSpan) {
+        let jitter = 0.5 + self.shared.random_share() * 0.5;
+        Timer::after(Duration::from(*pause).mul_f64(jitter)).await;
+        *pause = (*pause * 2).min(LONGEST_PAUSE);
+    }
+
     /// Lists, then watches until something fails.
     async fn follow(&mut self, pause: &mut TimeSpan) -> Result<Infallible, StoreError> {
         let mut revision = self.list().await?;
         loop {
             *pause = FIRST_PAUSE;
-            let prefix = self.feed.prefix();
-            let update = self.client.watch(prefix, revision, WATCH_WAIT).await?;
+            let watch = self.client.watch(paths::ALL_KEYS, revision, WATCH_WAIT);
+            let update = watch.await?;
             self.note_answer();
             if !update.events.is_empty() {
-                self.take_events(update.events, update.revision);
+                self.take_events(&update.events, update.revision);
                 // Changes often come in groups, and each call is counted.
                 Timer::after(GROUP_TIME).await;
             }
@@ -113,10 +105,7 @@
         let mut revision = None;
         loop {
             let last = items.last().map(|item| item.key.clone());
-            let page = self
-                .client
-                .page(self.feed.prefix(), last.as_deref())
-                .await?;
+            let page = self.client.page(paths::ALL_KEYS, last.as_deref()).await?;
             self.note_answer();
             // Pages are not of one revision: what changed after the first one
             // comes again with the watch.
@@ -127,42 +116,36 @@
             }
         }
         let revision = revision.unwrap_or_default();
-        match self.feed {
-            StoreFeed::Config => items.iter().for_each(|item| self.take_config(item)),
-            StoreFeed::Targets => {
-                let records = items.iter().filter_map(|item| self.decode(item)).collect();
-                let is_settled = self.is_settled();
-                let mut registry = self.shared.registry.borrow_mut();
-                let is_changed = registry.replace(records, revision, is_settled);
-                drop(registry);
-                self.note_targets(is_changed, "listing");
-            }
-        }
+        items.iter().for_each(|item| self.take_config(item));
+        let listed = items.iter().filter(|item| paths::is_target(&item.key));
+        let records = listed.filter_map(|item| self.decode(item)).collect();
+        let is_settled = self.is_settled();
+        let mut registry = self.shared.registry.borrow_mut();
+        let is_changed = registry.replace(records, revision, is_settled);
+        drop(registry);
+        self.note_targets(is_changed, "listing");
         Ok(revision)
     }
 
-    fn take_events(&self, events: Vec<StoreEvent>, revision: RevisionNumber) {
-        match self.feed {
-            StoreFeed::Config => {
-                for event in events {
-                    if let StoreEvent::Written(item) = event {
-                        self.take_config(&item);
-                    }
-                }
+    fn take_events(&self, events: &[StoreEvent], revision: RevisionNumber) {
+        let written = events.iter().filter_map(|event| match event {
+            StoreEvent::Written(item) => Some(item),
+            StoreEvent::Removed { .. } => None,
+        });
+        written.for_each(|item| self.take_config(item));
+        let changes = events.iter().filter_map(|event| match event {
+            StoreEvent::Written(item) if paths::is_target(&item.key) => {
+                self.decode(item).map(RegistryChange::Put)
             }
-            StoreFeed::Targets => {
-                let changes = events.iter().filter_map(|event| match event {
-                    StoreEvent::Written(item) => self.decode(item).map(RegistryChange::Put),
-                    StoreEvent::Removed { .. } => removed_target(event),
-                });
-                let changes: Vec<RegistryChange> = changes.collect();
-                let is_settled = self.is_settled();
-                let mut registry = self.shared.registry.borrow_mut();
-                let is_changed = registry.apply(changes, revision, is_settled);
-                drop(registry);
-                self.note_targets(is_changed, "watch");
-            }
-        }
+            StoreEvent::Written(_) => None,
+            StoreEvent::Removed { .. } => removed_target(event),
+        });
+        let changes: Vec<RegistryChange> = changes.collect();
+        let is_settled = self.is_settled();
+        let mut registry = self.shared.registry.borrow_mut();
+        let is_changed = registry.apply(changes, revision, is_settled);
+        drop(registry);
+        self.note_targets(is_changed, "watch");
     }
 
     fn take_config(&self, item: &StoreItem) {
@@ -210,7 +193,7 @@
 
     /// Drops targets that have not come back after an outage.
     fn expire(&self) {
-        if self.feed != StoreFeed::Targets || !self.is_settled() {
+        if !self.is_settled() {
             return;
         }
         let gone = self.shared.registry.borrow_mut().expire();
@@ -235,12 +218,12 @@
         if is_new {
             self.shared.changed.notify(usize::MAX);
             slog::warn!(self.shared.log, "store: Contact lost.";
-                "feed" => self.feed.label(), "error" => %error);
+                "error" => %error);
         }
     }
 
     fn count(&self, end: &str) {
         let calls = &self.shared.metrics.store_calls;
-        calls.with_label_values(&[self.feed.label(), end]).inc();
+        calls.with_label_values(&[end]).inc();
     }
 }
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -6,8 +6,6 @@
 mod store_error;
 
 pub use self::{
-    feed_reader::{FeedReader, StoreFeed},
-    news_driver::NewsDriver,
-    store_client::StoreClient,
+    feed_reader::FeedReader, news_driver::NewsDriver, store_client::StoreClient,
     store_error::StoreError,
 };
--- a/crates/gateway/src/store/news_driver.rs
+++ b/crates/gateway/src/store/news_driver.rs
@@ -2,11 +2,11 @@
 
 use smol::{Task, Timer};
 use verbenahub_core::{
-    clock::TimeSpan,
-    fleet::{ReaderPlan, ReaderRank},
+    clock::{ClockTime, TimeSpan},
+    fleet::{NodeStart, ReaderPlan},
 };
 
-use super::{FeedReader, StoreFeed};
+use super::FeedReader;
 use crate::{
     peers::{FOLLOW_PATH, FollowAsk, HoldingNote, NewsReply},
     process::Shared,
@@ -37,7 +37,8 @@
 #[derive(Debug)]
 pub struct NewsDriver {
     shared: Shared,
-    readers: Vec<Task<()>>,
+    started: ClockTime,
+    reader: Option<Task<()>>,
 }
 
 /// What a followed node has said.
@@ -50,20 +51,27 @@
 impl NewsDriver {
     /// Creates the driver. Nothing is read before it runs.
     #[must_use]
-    pub const fn new(shared: Shared) -> Self {
+    pub fn new(shared: Shared) -> Self {
         Self {
+            started: shared.now(),
             shared,
-            readers: Vec::new(),
+            reader: None,
         }
     }
 
     /// Reads or follows until the future is dropped.
     pub async fn run(mut self) {
+        let first = (!self.start().is_seed).then(|| {
+            let reader = FeedReader::new(Shared::clone(&self.shared));
+            self.shared.tasks.spawn_owned(reader.run_once())
+        });
+        // Ends with the driver.
+        let _first = first;
         loop {
             let members = self.shared.fleet.borrow().strong(self.shared.now());
             let plan = ReaderPlan::new(&self.shared.profile.node, &members);
-            if plan.rank == ReaderRank::Reader || self.is_first_seed(&plan) {
-                self.read("a reader by rank");
+            if let Some(reason) = plan.read_reason(&self.start()) {
+                self.read(reason);
                 Timer::after(ROLE_INTERVAL).await;
                 continue;
             }
@@ -73,10 +81,13 @@
         }
     }
 
-    /// Whether the node is a seed in a fleet that knows no members yet.
-    fn is_first_seed(&self, plan: &ReaderPlan) -> bool {
+    fn start(&self) -> NodeStart {
         let profile = &self.shared.profile;
-        plan.sources.is_empty() && profile.seeds.contains(&profile.peers)
+        NodeStart {
+            is_seed: profile.seeds.contains(&profile.peers),
+            has_seeds: !profile.seeds.is_empty(),
+            running: self.shared.now().since(self.started),
+        }
     }
 
     /// Follows the nodes of a plan, the best first, until one after the other
@@ -92,11 +103,11 @@
                 FollowEnd::OutOfContact => {}
                 FollowEnd::Silent => silent += 1,
             }
-            if silent > SILENT_LIMIT {
+            if silent > SILENT_LIMIT && plan.stands_in(&self.start(), silent) {
                 self.read("followed nodes are silent");
             }
         }
-        if plan.rank == ReaderRank::Standby || silent > 0 || plan.sources.is_empty() {
+        if plan.stands_in(&self.start(), silent) {
             self.read("no followed node is in contact");
         }
         false
@@ -109,10 +120,12 @@
             .iter()
             .filter_map(|node| fleet.address_of(node));
         let mut addresses: Vec<SocketAddr> = known.collect();
-        if addresses.is_empty() {
+        if addresses.is_empty() || self.start().is_new() {
             let own = self.shared.profile.peers;
             let seeds = self.shared.profile.seeds.iter().copied();
-            return seeds.filter(|seed| *seed != own).collect();
+            let seeds: Vec<SocketAddr> = seeds.filter(|seed| *seed != own).collect();
+            addresses.retain(|address| !seeds.contains(address));
+            addresses.splice(0..0, seeds);
         }
         if addresses.len() > FIRST_SOURCES {
             let rest = addresses.len() - FIRST_SOURCES;
@@ -155,23 +168,19 @@
     }
 
     fn read(&mut self, reason: &str) {
-        if !self.readers.is_empty() {
+        if self.reader.is_some() {
             return;
         }
         slog::info!(self.shared.log, "news: Reads the store."; "reason" => reason);
-        for feed in [StoreFeed::Config, StoreFeed::Targets] {
-            let reader = FeedReader::new(Shared::clone(&self.shared), feed);
-            let task = self.shared.tasks.spawn_owned(reader.run());
-            self.readers.push(task);
-        }
+        let reader = FeedReader::new(Shared::clone(&self.shared));
+        self.reader = Some(self.shared.tasks.spawn_owned(reader.run()));
     }
 
     fn stop_reading(&mut self) {
-        if self.readers.is_empty() {
+        if self.reader.take().is_none() {
             return;
         }
         slog::info!(self.shared.log, "news: Follows others.");
-        self.readers.clear();
         self.shared.contact.borrow_mut().note_leaving();
     }
 }
