Let collectors hand over, and give each target its owner by itself

A node that was asked though it owned no targets used all of a service; so did each stopping collector, for up to eight seconds, and the one whose work a returning node took over. Targets were dealt out by their place in a list, so that one that joined or left moved two thirds of the others.

Ruled out: asking targets for their load first (each question is priced, and the answer is late).

Change: ShardMap names an owner for each target by rendezvous among the service's collectors, and requests go to the owner of the target that they hash to. A collector that stops, or sees that another one collects, hands over the sets of which nothing was begun and answers others with the collector that it knows; it finishes the rest with the targets that it had. A node that becomes ready tells the collectors at once.

Tests: target_that_joins_or_leaves_moves_no_other, rolling_replacement_of_all_nodes_moves_a_target_a_few_times, collector_that_stops_hands_over_only_what_was_not_begun, and over processes collector_that_stops_hands_over_what_waits_and_calls_no_more.

--- a/crates/core/src/routes/route_config.rs
+++ b/crates/core/src/routes/route_config.rs
@@ -50,6 +50,13 @@
         self.services.get(service).and_then(|spec| spec.stage)
     }
 
+    /// Services whose targets work as stages.
+    pub fn stage_services(&self) -> impl Iterator<Item = &PoolName> {
+        let stages = self.services.iter();
+        let stages = stages.filter(|(_, spec)| spec.stage.is_some());
+        stages.map(|(service, _)| service)
+    }
+
     /// Number of routes.
     #[must_use]
     pub fn route_count(&self) -> usize {
--- a/crates/core/src/staging/queue_ends.rs
+++ b/crates/core/src/staging/queue_ends.rs
@@ -89,6 +89,20 @@
         }
     }
 
+    /// Gives up the sets that another collector may take over: those of which
+    /// nothing was begun.
+    pub fn hand_over(&mut self) -> Vec<SetEnd> {
+        let untouched = self.sets.iter().filter(|(_, set)| {
+            let is_whole = set.waiting.len() == set.results.len();
+            set.set.movable && is_whole && set.retries == 0
+        });
+        let moved: Vec<SetNumber> = untouched.map(|(number, _)| *number).collect();
+        moved
+            .into_iter()
+            .map(|number| self.fail(number, SetFailure::Moved))
+            .collect()
+    }
+
     /// Puts pieces of a failed call back, once for each set; sets that have
     /// failed too often end.
     pub(super) fn retry(&mut self, pieces: &[CallPiece], now: ClockTime) -> Vec<SetEnd> {
--- a/crates/core/src/staging/set_end.rs
+++ b/crates/core/src/staging/set_end.rs
@@ -13,6 +13,8 @@
     },
     /// Results that it needs no longer exist.
     InputGone,
+    /// Another node collects for its service now. None of it was begun.
+    Moved,
     /// Its pieces failed as often as they may be tried.
     Failed,
 }
--- a/crates/core/src/staging/shard_map.rs
+++ b/crates/core/src/staging/shard_map.rs
@@ -4,35 +4,51 @@
     ids::{NodeId, PoolName, TargetId},
 };
 
-/// Targets of a service that one node collects for at most. A collector of a
-/// whole service fills calls best and lets no target wait beside a queue; the
+/// Targets of a service that one node collects for, on average. A collector of
+/// a whole service fills calls best and lets no target wait beside a queue; the
 /// work for more targets than this takes a quarter of the largest VMs.
 const SHARD_TARGETS: usize = 16;
 
 /// Which node collects the pieces for which targets of a service.
 ///
 /// Answers to this load pattern: each call costs a fixed time, so pieces of
-/// requests that reached different nodes must share calls. All nodes that see
-/// the same members and targets name the same owners. Where they differ, a
+/// requests that reached different nodes must share calls, while nodes and
+/// targets come and go all the time. All nodes that see the same members and
+/// targets name the same owners. Each target has its owner by itself: one that
+/// joins or leaves moves no other, and a collector that leaves moves its own
+/// targets and some to the node that takes its place. Where views differ, a
 /// target gets calls from two nodes, which costs waiting and nothing else.
 #[derive(Clone, Debug)]
 pub struct ShardMap {
     owners: Vec<NodeId>,
-    targets: usize,
+    /// Targets with their hashes and the places of their owners.
+    targets: Vec<(TargetId, u64, usize)>,
 }
 
 impl ShardMap {
-    /// Names the owners of all shards of a service with `targets` targets
-    /// among `members`, each with its weight.
+    /// Names the owners of the targets of a service among `members`, each with
+    /// its weight.
     #[must_use]
-    pub fn new(service: &PoolName, targets: usize, members: &[(NodeId, f64)]) -> Self {
-        let shards = targets.div_ceil(SHARD_TARGETS).max(1);
+    pub fn new(service: &PoolName, targets: &[TargetId], members: &[(NodeId, f64)]) -> Self {
+        let count = targets.len().div_ceil(SHARD_TARGETS).max(1);
         let owners = weighted_order(service.as_str(), members);
-        let owners = owners.into_iter().take(shards).cloned().collect();
-        Self { owners, targets }
+        let owners: Vec<NodeId> = owners.into_iter().take(count).cloned().collect();
+        let hashes: Vec<u64> = owners
+            .iter()
+            .map(|owner| rendezvous::text_hash(owner.as_str()))
+            .collect();
+        let owned = targets.iter().filter_map(|target| {
+            let hash = rendezvous::text_hash(target.as_str());
+            let place = rendezvous::owner(hash, &hashes)?;
+            Some((target.clone(), hash, place))
+        });
+        Self {
+            targets: owned.collect(),
+            owners,
+        }
     }
 
-    /// Number of shards. None without members.
+    /// Number of owners. None without members.
     #[must_use]
     pub fn len(&self) -> usize {
         self.owners.len()
@@ -44,24 +60,30 @@
         self.owners.is_empty()
     }
 
-    /// Owner of the shard that a request belongs to. Each has as large a share
-    /// of the requests as of the targets.
+    /// The owners.
+    #[must_use]
+    pub fn owners(&self) -> &[NodeId] {
+        &self.owners
+    }
+
+    /// Owner of the work of a request: that of a target which the request
+    /// names, so that each owner gets as large a share of the requests as it has
+    /// of the targets.
     #[must_use]
     pub fn owner_of_request(&self, request: &str) -> Option<&NodeId> {
-        let count = u64::try_from(self.targets.max(self.owners.len())).ok()?;
-        let place = rendezvous::text_hash(request).checked_rem(count)?;
-        let place = usize::try_from(place).ok()?;
-        self.owners.get(place.checked_rem(self.owners.len())?)
+        let key = rendezvous::text_hash(request);
+        let scored = self.targets.iter();
+        let chosen = scored.max_by_key(|(_, hash, _)| rendezvous::score(key, *hash));
+        let place = chosen.map_or(0, |(_, _, place)| *place);
+        self.owners.get(place)
     }
 
-    /// The part of `targets`, given in order, that `node` collects for.
+    /// The targets that `node` collects for.
     #[must_use]
-    pub fn targets_of(&self, node: &NodeId, targets: &[TargetId]) -> Vec<TargetId> {
-        let count = self.owners.len().max(1);
-        let owned = targets.iter().enumerate().filter(|(place, _)| {
-            let owner = self.owners.get(place % count);
-            owner == Some(node)
-        });
-        owned.map(|(_, target)| target.clone()).collect()
+    pub fn targets_of(&self, node: &NodeId) -> Vec<TargetId> {
+        let place = self.owners.iter().position(|owner| owner == node);
+        let owned = self.targets.iter();
+        let owned = owned.filter(|(_, _, owner)| Some(*owner) == place);
+        owned.map(|(target, _, _)| target.clone()).collect()
     }
 }
--- a/crates/core/src/staging/stage_queue.rs
+++ b/crates/core/src/staging/stage_queue.rs
@@ -105,6 +105,12 @@
             .retain(|_, target| target.listed || target.running > 0);
     }
 
+    /// Whether the queue may call a target.
+    #[must_use]
+    pub fn calls_to(&self, target: &TargetId) -> bool {
+        self.targets.get(target).is_some_and(|target| target.listed)
+    }
+
     /// Takes in which services have a backlog.
     pub fn set_clogged(&mut self, clogged: BTreeSet<PoolName>) {
         self.clogged = clogged;
--- a/crates/core/src/staging/stage_set.rs
+++ b/crates/core/src/staging/stage_set.rs
@@ -28,4 +28,6 @@
     /// Whether the set may be refused for lack of time. Sets of requests that
     /// other targets have worked for are not.
     pub refusable: bool,
+    /// Whether another collector may take the set over before it is begun.
+    pub movable: bool,
 }
--- a/crates/core/tests/gateway_fleet.rs
+++ b/crates/core/tests/gateway_fleet.rs
@@ -6,7 +6,7 @@
 
 use verbenahub_core::{
     clock::{ClockTime, TimeSpan},
-    fleet::{FleetMember, FleetTable, GossipPace, ReaderPlan, ReaderRank},
+    fleet::{FleetMember, FleetTable, GossipPace, NodeStart, ReaderPlan, ReaderRank},
     ids::{IncarnationNumber, NodeId, PoolName, TargetId},
     staging::ShardMap,
 };
@@ -15,6 +15,12 @@
     NodeId::new(&format!("n{number}")).expect("an id")
 }
 
+fn targets(count: usize) -> Vec<TargetId> {
+    (0..count)
+        .map(|number| TargetId::new(&format!("t{number:02}")).expect("an id"))
+        .collect()
+}
+
 fn member(number: usize, heartbeat: u64, weight: f64) -> FleetMember {
     FleetMember {
         node: node(number),
@@ -68,13 +74,11 @@
 fn each_target_has_one_collector_and_each_request_one_of_them() {
     let members = members(9);
     let service = PoolName::new("ledger").expect("a name");
-    let targets: Vec<TargetId> = (0..18)
-        .map(|number| TargetId::new(&format!("t{number:02}")).expect("an id"))
-        .collect();
-    let map = ShardMap::new(&service, targets.len(), &members);
+    let targets = targets(18);
+    let map = ShardMap::new(&service, &targets, &members);
     let mut seen = Vec::new();
     for owner in members.iter().map(|(node, _)| node) {
-        seen.extend(map.targets_of(owner, &targets));
+        seen.extend(map.targets_of(owner));
     }
     seen.sort();
     assert_eq!(seen, targets);
@@ -82,7 +86,7 @@
         let owner = map
             .owner_of_request(&format!("r{request}"))
             .expect("an owner");
-        assert!(!map.targets_of(owner, &targets).is_empty());
+        assert!(!map.targets_of(owner).is_empty());
     }
 }
 
@@ -91,10 +95,8 @@
     let members = members(9);
     for count in [17, 33, 50] {
         let service = PoolName::new("billing").expect("a name");
-        let targets: Vec<TargetId> = (0..count)
-            .map(|number| TargetId::new(&format!("t{number:02}")).expect("an id"))
-            .collect();
-        let map = ShardMap::new(&service, count, &members);
+        let targets = targets(count);
+        let map = ShardMap::new(&service, &targets, &members);
         assert!(map.len() > 1);
         let mut asked = BTreeMap::new();
         for request in 0..20_000 {
@@ -106,7 +108,7 @@
         // No node has two shards while others have none.
         assert_eq!(asked.len(), map.len());
         for (owner, asked) in asked {
-            let share = 20_000 * map.targets_of(&owner, &targets).len() / count;
+            let share = 20_000 * map.targets_of(&owner).len() / count;
             assert!(asked.abs_diff(share) * 20 < share, "{asked} for {share}");
         }
     }
@@ -115,9 +117,9 @@
 #[test]
 fn service_of_a_few_targets_has_one_collector() {
     let service = PoolName::new("ledger").expect("a name");
-    let map = ShardMap::new(&service, 5, &members(9));
+    let map = ShardMap::new(&service, &targets(5), &members(9));
     assert_eq!(map.len(), 1);
-    let nobody = ShardMap::new(&service, 5, &[]);
+    let nobody = ShardMap::new(&service, &targets(5), &[]);
     assert!(nobody.is_empty() && nobody.owner_of_request("r").is_none());
 }
 
@@ -128,7 +130,7 @@
     for number in 0..50 {
         let service = PoolName::new(&format!("s{number}")).expect("a name");
         let owner = |members: &[(NodeId, f64)]| {
-            let map = ShardMap::new(&service, 1, members);
+            let map = ShardMap::new(&service, &targets(1), members);
             map.owner_of_request("r").cloned().expect("an owner")
         };
         let before = owner(&all);
@@ -247,3 +249,91 @@
     let later = at(0) + TimeSpan::from_secs(61);
     assert_eq!(table.round(later).len(), 1);
 }
+
+#[test]
+fn only_seeds_read_the_store_while_all_nodes_start() {
+    let seeds = 3;
+    for millis in [0, 400, 1_400, 4_900] {
+        let readers = (0..300).filter(|number| {
+            // A node that starts knows itself alone.
+            let plan = ReaderPlan::new(&node(*number), &[(node(*number), 0.5)]);
+            let start = NodeStart {
+                is_seed: *number < seeds,
+                has_seeds: true,
+                running: TimeSpan::from_millis(millis),
+            };
+            plan.read_reason(&start).is_some()
+        });
+        assert_eq!(readers.count(), seeds, "after {millis} ms");
+    }
+}
+
+#[test]
+fn node_whose_seeds_are_gone_reads_the_store_after_a_while() {
+    let plan = ReaderPlan::new(&node(1), &[]);
+    let start = |has_seeds, millis| NodeStart {
+        is_seed: false,
+        has_seeds,
+        running: TimeSpan::from_millis(millis),
+    };
+    assert!(!plan.stands_in(&start(true, 1_400), 3));
+    assert!(plan.stands_in(&start(true, 1_500), 3));
+    assert!(plan.stands_in(&start(false, 0), 0));
+    let members = members(300);
+    let follower = members
+        .iter()
+        .find(|(node, _)| ReaderPlan::new(node, &members).rank == ReaderRank::Follower);
+    let plan = ReaderPlan::new(&follower.expect("a follower").0, &members);
+    assert!(!plan.stands_in(&start(true, 60_000), 0));
+    assert!(plan.stands_in(&start(true, 60_000), 1));
+    assert_eq!(plan.read_reason(&start(true, 60_000)), None);
+}
+
+#[test]
+fn target_that_joins_or_leaves_moves_no_other() {
+    let members = members(300);
+    for service in 0..20 {
+        let service = PoolName::new(&format!("s{service}")).expect("a name");
+        let before = ShardMap::new(&service, &targets(43), &members);
+        for gone in 0..43 {
+            let mut left = targets(43);
+            left.remove(gone);
+            let after = ShardMap::new(&service, &left, &members);
+            for owner in before.owners() {
+                let mut had = before.targets_of(owner);
+                had.retain(|target| left.contains(target));
+                assert_eq!(after.targets_of(owner), had);
+            }
+        }
+    }
+}
+
+#[test]
+fn rolling_replacement_of_all_nodes_moves_a_target_a_few_times() {
+    // Each of 300 nodes leaves and comes back in turn; an owner that stays keeps
+    // its targets but for those that go to the node in the place of the one that
+    // left. By position in a list each change moved two targets in three.
+    let all = members(300);
+    let service = PoolName::new("ledger").expect("a name");
+    let owner_of = |map: &ShardMap, target: &TargetId| {
+        let mut owners = map.owners().iter();
+        owners
+            .find(|owner| map.targets_of(owner).contains(target))
+            .cloned()
+    };
+    let whole = ShardMap::new(&service, &targets(43), &all);
+    let mut moves = 0;
+    for gone in 0..300 {
+        let mut left = all.clone();
+        left.remove(gone);
+        let without = ShardMap::new(&service, &targets(43), &left);
+        let changed = targets(43)
+            .into_iter()
+            .filter(|target| owner_of(&whole, target) != owner_of(&without, target));
+        // It moves away and back.
+        moves += 2 * changed.count();
+    }
+    // Three owners of 300 leave once; each time its third of the targets moves,
+    // and a third of the others.
+    assert!(moves <= 3 * 2 * 43 * 6 / 9, "{moves} moves");
+}
--- a/crates/core/tests/stage_model/stage_day.rs
+++ b/crates/core/tests/stage_model/stage_day.rs
@@ -337,6 +337,7 @@
                     .saturating_sub(after.as_millis()),
             ),
             refusable: request.is_first,
+            movable: false,
         };
         let offered = self.services[service].collectors[shard].offer(set, self.now);
         let Ok(set) = offered else {
--- a/crates/core/tests/stage_queue.rs
+++ b/crates/core/tests/stage_queue.rs
@@ -53,6 +53,7 @@
         goal_at: now + TimeSpan::from_millis(goal_ms),
         dead_at: now + TimeSpan::from_millis(dead_ms),
         refusable: true,
+        movable: true,
     }
 }
 
@@ -291,6 +292,7 @@
     // One that has begun holds results elsewhere and goes on.
     let begun = StageSet {
         refusable: false,
+        movable: true,
         ..late
     };
     let begun = queue.offer(begun, now).expect("time");
@@ -326,6 +328,7 @@
     // What has begun elsewhere is taken all the same.
     let begun = StageSet {
         refusable: false,
+        movable: true,
         ..set(now, 500, 3_000)
     };
     assert!(queue.offer(begun, now).is_ok());
@@ -584,3 +587,61 @@
         }
     }
 }
+
+#[test]
+fn collector_that_stops_hands_over_only_what_was_not_begun() {
+    let service = StageService {
+        batch: 12,
+        ..SERVICE
+    };
+    let mut queue = queue(service, 1);
+    let now = at(0);
+    let begun = queue.offer(set(now, 5_000, 6_000), now).expect("a place");
+    let split = queue.offer(set(now, 5_001, 6_000), now).expect("a place");
+    let waits = queue.offer(set(now, 5_002, 6_000), now).expect("a place");
+    let kept = StageSet {
+        movable: false,
+        ..set(now, 5_003, 6_000)
+    };
+    let kept = queue.offer(kept, now).expect("a place");
+    let call = queue.plan(now).expect("a call");
+    assert!(call.pieces.iter().any(|piece| piece.set == begun));
+    let moved = queue.hand_over();
+    let moved: Vec<SetNumber> = moved
+        .into_iter()
+        .map(|end| {
+            assert_matches!(end.outcome, Err(SetFailure::Moved));
+            assert!(end.unused.is_empty());
+            end.set
+        })
+        .collect();
+    let untouched = |set: &SetNumber| !call.pieces.iter().any(|piece| piece.set == *set);
+    let expected: Vec<SetNumber> = [split, waits].into_iter().filter(untouched).collect();
+    assert_eq!(moved, expected);
+    // The rest is finished here.
+    let mut now = now;
+    let mut done = queue.finish(call.number, results(&call), now);
+    for _ in 0..100 {
+        now = now + TimeSpan::from_millis(200);
+        while let Some(call) = queue.plan(now) {
+            done.extend(queue.finish(call.number, results(&call), now));
+        }
+    }
+    let done: BTreeSet<SetNumber> = done.into_iter().map(|end| end.set).collect();
+    assert!(done.contains(&begun) && done.contains(&kept));
+}
+
+#[test]
+fn target_that_turns_a_call_away_with_a_time_gets_none_before_its_end() {
+    let mut queue = queue(SERVICE, 1);
+    let now = at(0);
+    queue.offer(set(now, 9_000, 9_500), now).expect("a place");
+    let call = queue.plan(now).expect("a call");
+    let closed_for = Some(TimeSpan::from_millis(3_000));
+    let done = queue.finish(call.number, CallEnd::Refused { closed_for }, now);
+    assert!(done.is_empty());
+    for millis in (0..3_000).step_by(50) {
+        assert!(queue.plan(at(millis)).is_none(), "after {millis} ms");
+    }
+    assert!(queue.plan(at(3_000)).is_some());
+}
--- a/crates/gateway/src/peers/gossip_round.rs
+++ b/crates/gateway/src/peers/gossip_round.rs
@@ -1,8 +1,13 @@
-use std::{net::SocketAddr, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
 use fastrand::Rng;
 use smol::Timer;
-use verbenahub_core::{clock::TimeSpan, fleet::GossipPace, ids::NodeId};
+use verbenahub_core::{
+    clock::TimeSpan,
+    fleet::GossipPace,
+    ids::{NodeId, TargetId},
+    staging::ShardMap,
+};
 
 use super::{GOSSIP_PATH, GossipNote, GossipReply, PeerError};
 use crate::process::Shared;
@@ -21,6 +26,8 @@
     rng: Rng,
     rounds: u64,
     pace: GossipPace,
+    /// Whether the collectors were told that this node takes part.
+    is_announced: bool,
 }
 
 impl GossipRound {
@@ -36,6 +43,7 @@
             shared,
             rounds: 0,
             pace,
+            is_announced: false,
         }
     }
 
@@ -52,6 +60,10 @@
             if let Some((node, address)) = self.next_peer() {
                 self.exchange(node, address).await;
             }
+            if !self.is_announced && self.shared.fleet.borrow().own().active {
+                self.is_announced = true;
+                self.announce().await;
+            }
             self.rounds += 1;
             let now = self.shared.now();
             let is_current = self.shared.contact.borrow().is_current(now);
@@ -62,6 +74,33 @@
         }
     }
 
+    /// Tells the collectors of all stages that this node takes part now, so that
+    /// one whose work it takes over hands that over at once.
+    async fn announce(&self) {
+        for node in self.collectors() {
+            let address = self.shared.fleet.borrow().address_of(&node);
+            if let Some(address) = address {
+                self.exchange(Some(node), address).await;
+            }
+        }
+    }
+
+    /// Collectors of all stages without this node.
+    fn collectors(&self) -> BTreeSet<NodeId> {
+        let Some(config) = self.shared.config() else {
+            return BTreeSet::new();
+        };
+        let own = &self.shared.profile.node;
+        let mut members = self.shared.fleet.borrow().strong(self.shared.now());
+        members.retain(|(node, _)| node != own);
+        let owners = config.stage_services().flat_map(|service| {
+            let targets = self.shared.ready_targets(service);
+            let ids: Vec<TargetId> = targets.iter().map(|record| record.id.clone()).collect();
+            ShardMap::new(service, &ids, &members).owners().to_vec()
+        });
+        owners.collect()
+    }
+
     fn next_peer(&mut self) -> Option<(Option<NodeId>, SocketAddr)> {
         let other = self.shared.fleet.borrow().random_other(&mut self.rng);
         let wants_seed = other.is_none() || self.rounds.is_multiple_of(SEED_ROUNDS);
--- a/crates/gateway/src/process/drain_driver.rs
+++ b/crates/gateway/src/process/drain_driver.rs
@@ -61,7 +61,8 @@
         match action {
             DrainAction::TurnUnready => {
                 self.shared.stopping.set(true);
-                self.shared.fleet.borrow_mut().set_active(false);
+                self.shared.note_changes();
+                self.shared.desk.review();
             }
             DrainAction::StopAccepting => {
                 if let Some(accepting) = self.accepting.take() {
--- a/crates/gateway/src/staging/result_desk.rs
+++ b/crates/gateway/src/staging/result_desk.rs
@@ -9,7 +9,7 @@
 };
 use verbenahub_platform::{encode_free, headers, paths, result_maker};
 
-use super::{FreeNote, StageClient};
+use super::FreeNote;
 use crate::{
     http::HeaderList,
     peers::{FREE_PATH, PeerAck},
@@ -36,7 +36,7 @@
 impl ResultDesk {
     /// Gives up results of a request.
     pub fn free(&self, shared: &Shared, request: &str, service: PoolName, names: Vec<String>) {
-        let owner = StageClient::collector(shared, &service, request);
+        let owner = shared.stages.collector(shared, &service, request);
         let Some(owner) = owner.filter(|owner| *owner != shared.profile.node) else {
             shared.desk.free(shared, FreeNote { service, names });
             return;
--- a/crates/gateway/src/staging/stage_client.rs
+++ b/crates/gateway/src/staging/stage_client.rs
@@ -1,10 +1,10 @@
-use std::{cell::RefCell, collections::HashMap, net::SocketAddr};
+use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc};
 
 use futures_lite::FutureExt;
 use smol::Timer;
 use verbenahub_core::{
     clock::{ClockTime, TimeSpan},
-    ids::{NodeId, PoolName},
+    ids::{NodeId, PoolName, TargetId},
     staging::{QueueBacklog, ShardMap},
 };
 
@@ -16,6 +16,9 @@
 
 /// Collectors that a set is offered to at most, one after the other.
 const OFFERS: u32 = 3;
+/// Time for which the choice of collectors counts as known. Members come and go
+/// within seconds.
+const SHARDS_LIFETIME: TimeSpan = TimeSpan::from_millis(100);
 /// Age at which a backlog says nothing any more.
 const BACKLOG_LIFETIME: TimeSpan = TimeSpan::from_millis(1_500);
 /// Time for which a collector that has work may be silent before it is probed.
@@ -30,6 +33,8 @@
 #[derive(Debug, Default)]
 pub struct StageClient {
     backlogs: RefCell<HashMap<PoolName, (QueueBacklog, ClockTime)>>,
+    /// Collectors by service, with the changes and the time they were taken at.
+    shards: RefCell<HashMap<PoolName, (Rc<ShardMap>, u64, ClockTime)>>,
     /// When each collector has answered last.
     heard: RefCell<HashMap<NodeId, ClockTime>>,
 }
@@ -46,12 +51,30 @@
         })
     }
 
+    /// Which node collects for which targets of a service.
+    #[must_use]
+    pub fn shards(&self, shared: &Shared, service: &PoolName) -> Rc<ShardMap> {
+        let (now, changes) = (shared.now(), shared.changes.get());
+        let known = self.shards.borrow().get(service).cloned();
+        if let Some((shards, known_changes, at)) = known
+            && known_changes == changes
+            && now.since(at) < SHARDS_LIFETIME
+        {
+            return shards;
+        }
+        let targets = shared.ready_targets(service);
+        let ids: Vec<TargetId> = targets.iter().map(|record| record.id.clone()).collect();
+        let members = shared.fleet.borrow().strong(now);
+        let shards = Rc::new(ShardMap::new(service, &ids, &members));
+        let mut maps = self.shards.borrow_mut();
+        maps.insert(service.clone(), (Rc::clone(&shards), changes, now));
+        shards
+    }
+
     /// The node that collects the pieces of a request for a service.
     #[must_use]
-    pub fn collector(shared: &Shared, service: &PoolName, request: &str) -> Option<NodeId> {
-        let count = shared.ready_targets(service).len();
-        let members = shared.fleet.borrow().strong(shared.now());
-        let shards = ShardMap::new(service, count, &members);
+    pub fn collector(&self, shared: &Shared, service: &PoolName, request: &str) -> Option<NodeId> {
+        let shards = self.shards(shared, service);
         shards.owner_of_request(request).cloned()
     }
 
@@ -59,14 +82,31 @@
     pub async fn run(&self, shared: &Shared, ask: StageAsk) -> StageAnswer {
         let begun = shared.now();
         let mut failure = String::from("no collector");
-        for _ in 0..OFFERS {
+        let mut told: Option<NodeId> = None;
+        for offer in 1..=OFFERS {
             let spent = shared.now().since(begun);
             let ask = StageAsk {
                 goal_left: ask.goal_left.saturating_sub(spent),
                 dead_left: ask.dead_left.saturating_sub(spent),
+                movable: offer < OFFERS,
                 ..ask.clone()
             };
-            match self.offer(shared, ask).await {
+            let owner = told.take();
+            let owner = owner.or_else(|| self.collector(shared, &ask.service, &ask.request));
+            match self.offer(shared, ask, owner.clone()).await {
+                Ok((
+                    _,
+                    StageAnswer::Moved {
+                        owner: next,
+                        stopping,
+                    },
+                )) => {
+                    if let Some(owner) = owner.filter(|_| stopping) {
+                        self.note_lost(shared, &owner);
+                    }
+                    told = next;
+                    "no collector".clone_into(&mut failure);
+                }
                 Ok(answer) => {
                     self.note(shared, &answer, begun);
                     return answer.1;
@@ -80,15 +120,18 @@
     async fn offer(
         &self,
         shared: &Shared,
-        ask: StageAsk,
+        mut ask: StageAsk,
+        owner: Option<NodeId>,
     ) -> Result<(PoolName, StageAnswer), PeerError> {
         let service = ask.service.clone();
-        let owner = Self::collector(shared, &service, &ask.request);
+        let is_own = owner.as_ref() == Some(&shared.profile.node);
         let remote = owner.filter(|owner| *owner != shared.profile.node);
         let address = remote
             .as_ref()
             .and_then(|owner| shared.fleet.borrow().address_of(owner));
         let (Some(owner), Some(address)) = (remote, address) else {
+            // Without a collector that can be asked, this node does the work.
+            ask.movable &= is_own;
             return Ok((service, shared.desk.run(shared, ask).await));
         };
         let timeout = ask.dead_left + ANSWER_SLACK;
@@ -116,13 +159,18 @@
                 slog::warn!(shared.log, "stage: Collector did not answer.";
                     "request" => &ask.request, "service" => %service, "collector" => %owner,
                     "error" => %error);
-                let now = shared.now();
-                shared.fleet.borrow_mut().note_unreached(&owner, now);
+                self.note_lost(shared, &owner);
                 Err(error)
             }
         }
     }
 
+    /// Leaves a node out of the choice of collectors for a while.
+    fn note_lost(&self, shared: &Shared, node: &NodeId) {
+        shared.fleet.borrow_mut().note_unreached(node, shared.now());
+        self.shards.borrow_mut().clear();
+    }
+
     /// Waits until a collector seems to be gone: it has answered nothing for a
     /// while and takes no new connection.
     async fn wait_silence(&self, shared: &Shared, owner: &NodeId, address: SocketAddr) {
--- a/crates/gateway/src/staging/stage_desk.rs
+++ b/crates/gateway/src/staging/stage_desk.rs
@@ -10,10 +10,10 @@
 use smol::Timer;
 use verbenahub_core::{
     clock::{ClockTime, TimeSpan},
-    ids::{PoolName, TargetId},
+    ids::PoolName,
     staging::{
         CallEnd, CallNumber, PieceEnd, QueueBacklog, ResultNames, SetEnd, SetFailure, SetNumber,
-        ShardMap, StageQueue, StageSet,
+        StageQueue, StageSet,
     },
 };
 
@@ -47,6 +47,8 @@
     is_driven: Cell<bool>,
     /// Changes that the targets were taken from, and when.
     targets_of: Cell<Option<(u64, ClockTime)>>,
+    /// Whether this node collects for any target, as it sees the fleet.
+    collects: Cell<bool>,
     backlog: Cell<Option<(QueueBacklog, ClockTime)>>,
     names: RefCell<ResultNames>,
 }
@@ -83,6 +85,9 @@
         };
         let now = shared.now();
         queue.update_targets(shared);
+        if ask.movable && !queue.collects.get() {
+            return queue.moved(shared, &ask.request);
+        }
         let set = StageSet {
             pieces: ask.pieces,
             piece_bytes: ask.piece_bytes,
@@ -92,6 +97,7 @@
             goal_at: now + ask.goal_left,
             dead_at: now + ask.dead_left,
             refusable: ask.refusable,
+            movable: ask.movable,
         };
         let offered = queue.queue.borrow_mut().offer(set, now);
         let backlog = queue.backlog(now);
@@ -115,10 +121,13 @@
             "backlog" => %backlog.on_time, "total_backlog" => %backlog.total, "goal_left" => %ask.goal_left);
         let (done, result) = async_channel::bounded(1);
         let ask = Rc::new(ask);
-        queue
-            .waiters
-            .borrow_mut()
-            .insert(number, SetWaiter { ask, done });
+        queue.waiters.borrow_mut().insert(
+            number,
+            SetWaiter {
+                ask: Rc::clone(&ask),
+                done,
+            },
+        );
         let _guard = SetGuard {
             shared: Shared::clone(shared),
             queue: Rc::clone(&queue),
@@ -134,6 +143,7 @@
                 retry_after,
                 backlog: queue.backlog(shared.now()),
             },
+            Ok(Err(SetFailure::Moved)) => queue.moved(shared, &ask.request),
             Ok(Err(failure)) => StageAnswer::Failed {
                 reason: format!("{failure:?}"),
             },
@@ -156,6 +166,13 @@
         }
     }
 
+    /// Has all queues look at once whether this node still collects.
+    pub fn review(&self) {
+        for queue in self.queues.borrow().values() {
+            queue.wake();
+        }
+    }
+
     /// Takes note that results have left their makers.
     pub(super) fn release(&self, service: &PoolName, names: &[String]) {
         let queue = self.queues.borrow().get(service).map(Rc::clone);
@@ -176,6 +193,7 @@
                 wake: async_channel::bounded(1),
                 is_driven: Cell::new(false),
                 targets_of: Cell::new(None),
+                collects: Cell::new(false),
                 backlog: Cell::new(None),
                 names: RefCell::default(),
             })
@@ -283,7 +301,9 @@
             let waiter = self.waiters.borrow_mut().remove(&end.set);
             match (waiter, end.outcome) {
                 (Some(waiter), outcome) => {
-                    if let Err(failure) = &outcome {
+                    if let Err(failure) = &outcome
+                        && *failure != SetFailure::Moved
+                    {
                         slog::warn!(shared.log, "stage: Set failed.";
                             "request" => &waiter.ask.request, "service" => %self.service,
                             "stage" => waiter.ask.stage, "reason" => ?failure);
@@ -317,8 +337,9 @@
         self.queue.borrow_mut().set_clogged(clogged);
     }
 
-    /// Takes over the targets that this node collects for. A node that was
-    /// asked though it sees no share of its own uses all of them.
+    /// Takes over the targets that this node collects for. A node that collects
+    /// no longer hands over what it has not begun and finishes the rest with the
+    /// targets that it had; one that was asked though it never had any uses all.
     fn update_targets(&self, shared: &Shared) {
         let now = shared.now();
         let changes = shared.changes.get();
@@ -331,18 +352,46 @@
         }
         self.targets_of.set(Some((changes, now)));
         let targets = shared.ready_targets(&self.service);
-        let ids: Vec<TargetId> = targets.iter().map(|record| record.id.clone()).collect();
-        let fleet = shared.fleet.borrow();
-        let members = fleet.strong(now);
-        let shards = ShardMap::new(&self.service, ids.len(), &members);
-        let mut owned = shards.targets_of(&shared.profile.node, &ids);
+        let shards = shared.stages.shards(shared, &self.service);
+        let mut owned = shards.targets_of(&shared.profile.node);
+        self.collects.set(!owned.is_empty());
+        if owned.is_empty() {
+            self.hand_over(shared);
+            let queue = self.queue.borrow();
+            let had = targets.iter().filter(|record| queue.calls_to(&record.id));
+            owned = had.map(|record| record.id.clone()).collect();
+        }
         if owned.is_empty() {
-            owned = ids;
+            owned = targets.iter().map(|record| record.id.clone()).collect();
         }
         let used = targets.iter().filter(|record| owned.contains(&record.id));
         let used = used.map(|record| (record.id.clone(), record.zone.clone(), record.slots));
         self.queue.borrow_mut().set_targets(used);
     }
+
+    /// Tells the requests of which nothing was begun that another node collects.
+    fn hand_over(&self, shared: &Shared) {
+        let moved = self.queue.borrow_mut().hand_over();
+        if moved.is_empty() {
+            return;
+        }
+        slog::info!(shared.log, "stage: Sets handed over.";
+            "service" => %self.service, "sets" => moved.len(),
+            "left" => self.queue.borrow().waiting_pieces(),
+            "stopping" => shared.stopping.get());
+        self.deliver(shared, moved);
+    }
+
+    /// Answers that another node collects for the service.
+    fn moved(&self, shared: &Shared, request: &str) -> StageAnswer {
+        let shards = shared.stages.shards(shared, &self.service);
+        let owner = shards.owner_of_request(request).cloned();
+        let stopping = shared.stopping.get();
+        slog::info!(shared.log, "stage: Asked for another collector's work.";
+            "request" => request, "service" => %self.service,
+            "collector" => owner.as_ref().map(ToString::to_string), "stopping" => stopping);
+        StageAnswer::Moved { owner, stopping }
+    }
 }
 
 impl StageAnswer {
@@ -351,7 +400,7 @@
     pub const fn backlog(&self) -> Option<QueueBacklog> {
         match self {
             Self::Done { backlog, .. } | Self::Refused { backlog, .. } => Some(*backlog),
-            Self::Failed { .. } => None,
+            Self::Moved { .. } | Self::Failed { .. } => None,
         }
     }
 }
--- a/crates/gateway/src/staging/stage_flow.rs
+++ b/crates/gateway/src/staging/stage_flow.rs
@@ -109,6 +109,10 @@
                 StageAnswer::Refused { retry_after, .. } => {
                     return Err(StageFailure::Refused { retry_after });
                 }
+                // The last collector that is asked may not say so.
+                StageAnswer::Moved { .. } => {
+                    return Err(StageFailure::Failed("no collector".to_owned()));
+                }
                 StageAnswer::Failed { reason } => return Err(StageFailure::Failed(reason)),
             }
         }
@@ -175,6 +179,7 @@
             goal_left: now.until(self.goal_at - after),
             dead_left: now.until(dead_at - after),
             refusable: is_first,
+            movable: true,
         }
     }
 
--- a/crates/gateway/src/staging/stage_message.rs
+++ b/crates/gateway/src/staging/stage_message.rs
@@ -1,7 +1,7 @@
 use serde::{Deserialize, Serialize};
 use verbenahub_core::{
     clock::TimeSpan,
-    ids::{PoolName, ZoneName},
+    ids::{NodeId, PoolName, ZoneName},
     staging::QueueBacklog,
 };
 use verbenahub_platform::PieceInput;
@@ -33,6 +33,8 @@
     pub dead_left: TimeSpan,
     /// Whether the pieces may be refused for lack of time.
     pub refusable: bool,
+    /// Whether a node that collects for the service no longer may say so.
+    pub movable: bool,
 }
 
 /// What became of the pieces.
@@ -52,6 +54,14 @@
         /// What waits at the collector.
         backlog: QueueBacklog,
     },
+    /// The node doesn't collect for the service, or stops. None of the pieces was
+    /// begun.
+    Moved {
+        /// The collector, as far as the node knows.
+        owner: Option<NodeId>,
+        /// Whether the node stops.
+        stopping: bool,
+    },
     /// The pieces could not be produced.
     Failed {
         /// Why.
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -329,6 +329,79 @@
     wait_for("results to be freed", || fixture.held() == 0);
 }
 
+#[test]
+fn collector_that_stops_hands_over_what_waits_and_calls_no_more() {
+    let fixture = StageFixture::start(3, Duration::from_millis(300));
+    for gateway in &fixture.gateways {
+        wait_for("the fleet", || {
+            let text = RawAnswer::ask(gateway.metrics, "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+            text.text().contains("verbenahub_gateway_members 3")
+        });
+    }
+    let queues = |gateway: &&GatewayProcess, service: &str| {
+        let lines = gateway.lines();
+        let mut queued = lines
+            .iter()
+            .filter(|line| line["msg"] == "stage: Set queued.");
+        queued.any(|line| line["service"] == service)
+    };
+    assert!(
+        staged("first", "1,1,0")
+            .ask(fixture.gateways[0].front)
+            .is_whole
+    );
+    let collector = fixture
+        .gateways
+        .iter()
+        .find(|gateway| queues(gateway, "stage-a"));
+    let collector = collector.expect("a collector");
+    let fronts: Vec<_> = fixture
+        .gateways
+        .iter()
+        .map(|gateway| gateway.front)
+        .collect();
+    let callers: Vec<_> = (0..40)
+        .map(|number| {
+            let front = fronts[number % 3];
+            thread::spawn(move || staged(&format!("r{number}"), "4,1,0").ask(front))
+        })
+        .collect();
+    let waits = |line: &Value| {
+        line["msg"] == "stage: Set queued." && line["waiting_pieces"].as_u64() > Some(20)
+    };
+    collector.wait_line(waits);
+    collector.signal(rustix::process::Signal::TERM);
+    collector.wait_line(|line| line["msg"] == "stage: Sets handed over.");
+    for caller in callers {
+        let answer = caller.join().expect("an answer");
+        assert!(answer.is_whole, "{}", answer.status);
+    }
+}
+
+#[test]
+fn node_that_starts_beside_a_seed_leaves_reading_to_it() {
+    let store = usual_store();
+    let target = PlainTarget::start(any_port(), "t0", &RunLog::default(), |call: &RawCall| {
+        PlainTarget::signed(call, "200 OK", b"done")
+    });
+    let target = target.expect("a target");
+    register(&store, "t0", "desk", target.server().address());
+    let seed = GatewayProcess::start_ready("n0", store.address());
+    let others: Vec<_> = (1..5)
+        .map(|number| GatewayProcess::start(&format!("n{number}"), store.address(), &[seed.peers]))
+        .collect();
+    for other in &others {
+        other.wait_ready();
+        let lines = other.lines();
+        let ready = lines
+            .iter()
+            .position(|line| line["msg"] == "config: Version in force.");
+        let until = ready.expect("a configuration");
+        let mut before = lines[..until].iter();
+        assert!(before.all(|line| line["msg"] != "news: Reads the store."));
+    }
+}
+
 #[test]
 fn request_whose_stages_have_no_time_is_refused_at_once_and_begins_nothing() {
     let fixture = StageFixture::start(1, Duration::from_millis(20));
