Agree on collectors within a second of a common start

Cause: after the loss of all VMs nodes told of themselves before they took part, so that the news that they did had to reach all others a second time; and a target that refused since it worked for another node was asked again every 60 ms by each of many.

Change: a node begins to gossip when it takes part (or after 300 ms), asks a seed again in its third round, and tells the collectors of its own stages only once it knows a node that has run for three seconds. The pause of a target that refuses doubles up to 480 ms. A node that must collect though it never did uses the targets of one collector.

Tried and left: letting a set wait for its own zone as long as it would be on time and no more waits than a call carries.

--- a/crates/core/src/fleet/fleet_table.rs
+++ b/crates/core/src/fleet/fleet_table.rs
@@ -16,6 +16,9 @@
 const UNREACHED_SPAN: TimeSpan = TimeSpan::from_millis(1_500);
 /// Size against the largest VM from which a node carries work for others.
 const STRONG_SHARE: f64 = 0.5;
+/// Rounds of gossip after which a node knows the fleet, also if all nodes have
+/// started together: three seconds of hurried rounds.
+const ESTABLISHED_ROUNDS: u64 = 15;
 /// Silence after which a member is forgotten.
 const FORGET_SPAN: TimeSpan = TimeSpan::from_secs(60);
 
@@ -133,6 +136,17 @@
         members
     }
 
+    /// Whether this node takes part in shared work and knows one that has done
+    /// so for long enough to know the fleet.
+    #[must_use]
+    pub fn knows_established(&self) -> bool {
+        let mut others = self.others.values();
+        let is_established = |known: &KnownMember| {
+            known.member.active && known.member.heartbeat >= ESTABLISHED_ROUNDS
+        };
+        self.own.active && others.any(is_established)
+    }
+
     /// Number of nodes that seem to live, this one included.
     #[must_use]
     pub fn live_count(&self, now: ClockTime) -> usize {
--- a/crates/core/src/staging/queue_ends.rs
+++ b/crates/core/src/staging/queue_ends.rs
@@ -16,8 +16,12 @@
 const SET_RETRIES: u32 = 2;
 /// First pause of a target after a failed call. Doubles with each further one.
 const FIRST_PAUSE: TimeSpan = TimeSpan::from_millis(500);
-/// Pause of a target that refused a call.
+/// First pause of a target that refused a call, since it works for another node.
+/// Doubles with each further refusal: two nodes that call one target in turn
+/// leave it free for half of the time, many would never let it work.
 const REFUSED_PAUSE: TimeSpan = TimeSpan::from_millis(60);
+/// Doublings of that pause at most; then it is two calls long.
+const REFUSED_DOUBLINGS: u32 = 3;
 /// Pause of a target that has no room for results.
 const NO_ROOM_PAUSE: TimeSpan = TimeSpan::from_millis(100);
 
@@ -154,6 +158,7 @@
         match end {
             CallEnd::Answered(ends) => {
                 target.failures = 0;
+                target.refusals = 0;
                 target.observe_pace(took / call.expected_ms.max(1.0));
                 self.recent.note_call(took, call.expected_ms);
                 if ends.contains(&PieceEnd::NoRoom) {
@@ -161,8 +166,10 @@
                 }
             }
             CallEnd::Refused { closed_for } => {
-                let pause = closed_for.unwrap_or_default().max(REFUSED_PAUSE);
-                target.paused_until = now + pause;
+                let doublings = target.refusals.min(REFUSED_DOUBLINGS);
+                target.refusals += 1;
+                let pause = REFUSED_PAUSE * (1 << doublings);
+                target.paused_until = now + closed_for.unwrap_or_default().max(pause);
             }
             CallEnd::Failed => {
                 let doublings = target.failures.min(8);
--- a/crates/core/src/staging/queue_target.rs
+++ b/crates/core/src/staging/queue_target.rs
@@ -14,6 +14,8 @@
     /// Measured against expected time of its calls.
     pub(super) pace: f64,
     pub(super) failures: u32,
+    /// Refusals since its last answer.
+    pub(super) refusals: u32,
     pub(super) paused_until: ClockTime,
     pub(super) listed: bool,
     /// Room taken by results, those included that are being made.
@@ -28,6 +30,7 @@
             running: 0,
             pace: 1.0,
             failures: 0,
+            refusals: 0,
             paused_until: ClockTime::ZERO,
             listed: true,
             taken: 0,
--- a/crates/core/tests/gateway_fleet.rs
+++ b/crates/core/tests/gateway_fleet.rs
@@ -24,7 +24,9 @@
 fn member(number: usize, heartbeat: u64, weight: f64) -> FleetMember {
     FleetMember {
         node: node(number),
-        address: format!("10.0.0.{number}:80").parse().expect("an address"),
+        address: format!("10.0.{}.{}:80", number / 250, number % 250)
+            .parse()
+            .expect("an address"),
         incarnation: IncarnationNumber::new(1),
         heartbeat,
         weight,
@@ -337,3 +339,68 @@
     // and a third of the others.
     assert!(moves <= 3 * 2 * 43 * 6 / 9, "{moves} moves");
 }
+
+/// Plays the common start of a fleet: nodes start within 300 ms and take part
+/// 60 ms later. Returns the time after the last start at which all but one node
+/// in fifty name the same collectors.
+fn agreement_after_start(count: usize, seed: u64) -> TimeSpan {
+    let mut rng = Rng::with_seed(seed);
+    let service = PoolName::new("ledger").expect("a name");
+    let targets = targets(43);
+    let starts: Vec<ClockTime> = (0..count).map(|_| at(1_000 + rng.u64(0..300))).collect();
+    let mut tables: Vec<FleetTable> = (0..count)
+        .map(|number| FleetTable::new(member(number, 0, 0.25)))
+        .collect();
+    let mut rounds = vec![0_u64; count];
+    let mut due: BTreeSet<(ClockTime, usize)> = BTreeSet::new();
+    for (own, start) in starts.iter().enumerate() {
+        tables[own].set_active(false);
+        let first = GossipPace::new(*start)
+            .first_wait()
+            .min(TimeSpan::from_millis(60));
+        due.insert((*start + first, own));
+    }
+    let whole = ShardMap::new(&service, &targets, &members(count));
+    while let Some((now, own)) = due.pop_first() {
+        tables[own].set_active(now.since(starts[own]) >= TimeSpan::from_millis(60));
+        let told = tables[own].round(now);
+        let other = tables[own].random_other(&mut rng);
+        let peer = match other {
+            Some((node, _)) if !GossipPace::wants_seed(rounds[own]) => {
+                node.as_str()[1..].parse().expect("a number")
+            }
+            _ => rng.usize(0..3),
+        };
+        rounds[own] += 1;
+        if peer != own && starts[peer] <= now {
+            let answer = tables[peer].telling();
+            tables[peer].merge(told, now);
+            tables[own].merge(answer, now);
+        }
+        let pace = GossipPace::new(starts[own]);
+        let jitter = rng.u64(75..125);
+        let wait = pace.interval(true, now).as_millis() * jitter / 100;
+        due.insert((now + TimeSpan::from_millis(wait), own));
+        let agrees = |table: &&FleetTable| {
+            let members = table.active(now);
+            ShardMap::new(&service, &targets, &members).owners() == whole.owners()
+        };
+        if own == 0 && tables.iter().filter(agrees).count() * 50 >= count * 49 {
+            return at(1_300).until(now);
+        }
+    }
+    unreachable!("nodes gossip for ever")
+}
+
+#[test]
+fn fleet_that_starts_at_once_agrees_on_its_collectors_within_a_second() {
+    for count in [9, 30, 100, 300] {
+        for seed in 0..3 {
+            let span = agreement_after_start(count, seed);
+            assert!(
+                span <= TimeSpan::from_millis(1_000),
+                "{count} nodes: {span}"
+            );
+        }
+    }
+}
--- a/crates/core/tests/stage_queue.rs
+++ b/crates/core/tests/stage_queue.rs
@@ -645,3 +645,39 @@
     }
     assert!(queue.plan(at(3_000)).is_some());
 }
+
+#[test]
+fn target_that_works_for_others_is_asked_less_and_less_until_it_answers() {
+    let mut queue = queue(SERVICE, 1);
+    queue
+        .offer(set(at(0), 9_000, 9_500), at(0))
+        .expect("a place");
+    let mut asked = Vec::new();
+    for millis in (0..3_000).step_by(10) {
+        if let Some(call) = queue.plan(at(millis)) {
+            asked.push(millis);
+            let refused = CallEnd::Refused { closed_for: None };
+            assert!(queue.finish(call.number, refused, at(millis)).is_empty());
+        }
+    }
+    let gaps: Vec<u64> = asked.windows(2).map(|pair| pair[1] - pair[0]).collect();
+    let least = [60, 120, 240, 480, 480, 480];
+    assert!(gaps.len() >= least.len(), "{asked:?}");
+    let pairs = gaps.iter().zip(least);
+    assert!(pairs.clone().all(|(gap, least)| *gap >= least), "{gaps:?}");
+    // Never longer than two calls: the target may have been free for a while.
+    assert!(gaps.iter().all(|gap| *gap <= 500), "{gaps:?}");
+    let call = queue.plan(at(3_300)).expect("a call");
+    assert_eq!(
+        queue.finish(call.number, results(&call), at(3_500)).len(),
+        1
+    );
+    queue
+        .offer(set(at(3_500), 9_000, 9_500), at(3_500))
+        .expect("a place");
+    let call = queue.plan(at(3_600)).expect("a call");
+    let refused = CallEnd::Refused { closed_for: None };
+    queue.finish(call.number, refused, at(3_600));
+    // Not yet, had the earlier refusals counted.
+    assert!(queue.plan(at(3_900)).is_some());
+}
--- a/crates/gateway/src/peers/gossip_round.rs
+++ b/crates/gateway/src/peers/gossip_round.rs
@@ -10,13 +10,10 @@
 };
 
 use super::{GOSSIP_PATH, GossipNote, GossipReply, PeerError};
-use crate::process::Shared;
+use crate::{process::Shared, targets::within};
 
 /// Time for an answer to a note.
 const ANSWER_TIMEOUT: TimeSpan = TimeSpan::from_millis(800);
-/// One round in so many goes to a seed, so that parts of a fleet that don't
-/// know of each other meet again.
-const SEED_ROUNDS: u64 = 8;
 
 /// Tells other gateways what this one knows, and takes over what it lacks.
 #[derive(Debug)]
@@ -49,6 +46,7 @@
 
     /// Gossips until the future is dropped.
     pub async fn run(mut self) {
+        within(self.pace.first_wait(), self.active()).await;
         loop {
             self.note_pause();
             let members = self.shared.fleet.borrow_mut().round(self.shared.now());
@@ -60,7 +58,7 @@
             if let Some((node, address)) = self.next_peer() {
                 self.exchange(node, address).await;
             }
-            if !self.is_announced && self.shared.fleet.borrow().own().active {
+            if !self.is_announced && self.shared.fleet.borrow().knows_established() {
                 self.is_announced = true;
                 self.announce().await;
             }
@@ -74,8 +72,19 @@
         }
     }
 
-    /// Tells the collectors of all stages that this node takes part now, so that
-    /// one whose work it takes over hands that over at once.
+    /// Waits until this node takes part in shared work.
+    async fn active(&self) {
+        loop {
+            let changed = self.shared.changed.listen();
+            if self.shared.fleet.borrow().own().active {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    /// Tells the collectors of all stages that this node is one of them now, so
+    /// that the one whose work it takes over hands that over at once.
     async fn announce(&self) {
         for node in self.collectors() {
             let address = self.shared.fleet.borrow().address_of(&node);
@@ -85,25 +94,30 @@
         }
     }
 
-    /// Collectors of all stages without this node.
+    /// Collectors, without this node, of the stages that it collects for with it.
     fn collectors(&self) -> BTreeSet<NodeId> {
         let Some(config) = self.shared.config() else {
             return BTreeSet::new();
         };
         let own = &self.shared.profile.node;
-        let mut members = self.shared.fleet.borrow().strong(self.shared.now());
-        members.retain(|(node, _)| node != own);
+        let members = self.shared.fleet.borrow().strong(self.shared.now());
+        let mut others = members.clone();
+        others.retain(|(node, _)| node != own);
         let owners = config.stage_services().flat_map(|service| {
             let targets = self.shared.ready_targets(service);
             let ids: Vec<TargetId> = targets.iter().map(|record| record.id.clone()).collect();
-            ShardMap::new(service, &ids, &members).owners().to_vec()
+            let collects = ShardMap::new(service, &ids, &members)
+                .owners()
+                .contains(own);
+            let before = collects.then(|| ShardMap::new(service, &ids, &others));
+            before.map_or_else(Vec::new, |shards| shards.owners().to_vec())
         });
         owners.collect()
     }
 
     fn next_peer(&mut self) -> Option<(Option<NodeId>, SocketAddr)> {
         let other = self.shared.fleet.borrow().random_other(&mut self.rng);
-        let wants_seed = other.is_none() || self.rounds.is_multiple_of(SEED_ROUNDS);
+        let wants_seed = other.is_none() || GossipPace::wants_seed(self.rounds);
         if wants_seed && !self.seeds.is_empty() {
             let place = self.rng.usize(0..self.seeds.len());
             return Some((None, self.seeds[place]));
--- a/crates/gateway/src/staging/stage_client.rs
+++ b/crates/gateway/src/staging/stage_client.rs
@@ -28,13 +28,21 @@
 /// Time added to a set's own for the way of the answer.
 const ANSWER_SLACK: TimeSpan = TimeSpan::from_millis(200);
 
+/// The collectors of a service as they were found last.
+#[derive(Clone, Debug)]
+struct KnownShards {
+    shards: Rc<ShardMap>,
+    /// Changes of targets and members that they were taken from.
+    changes: u64,
+    at: ClockTime,
+}
+
 /// Finds the node that collects a stage's pieces, and remembers how much waits
 /// there.
 #[derive(Debug, Default)]
 pub struct StageClient {
     backlogs: RefCell<HashMap<PoolName, (QueueBacklog, ClockTime)>>,
-    /// Collectors by service, with the changes and the time they were taken at.
-    shards: RefCell<HashMap<PoolName, (Rc<ShardMap>, u64, ClockTime)>>,
+    shards: RefCell<HashMap<PoolName, KnownShards>>,
     /// When each collector has answered last.
     heard: RefCell<HashMap<NodeId, ClockTime>>,
 }
@@ -55,19 +63,22 @@
     #[must_use]
     pub fn shards(&self, shared: &Shared, service: &PoolName) -> Rc<ShardMap> {
         let (now, changes) = (shared.now(), shared.changes.get());
-        let known = self.shards.borrow().get(service).cloned();
-        if let Some((shards, known_changes, at)) = known
-            && known_changes == changes
-            && now.since(at) < SHARDS_LIFETIME
+        if let Some(known) = self.shards.borrow().get(service)
+            && known.changes == changes
+            && now.since(known.at) < SHARDS_LIFETIME
         {
-            return shards;
+            return Rc::clone(&known.shards);
         }
         let targets = shared.ready_targets(service);
         let ids: Vec<TargetId> = targets.iter().map(|record| record.id.clone()).collect();
         let members = shared.fleet.borrow().strong(now);
         let shards = Rc::new(ShardMap::new(service, &ids, &members));
-        let mut maps = self.shards.borrow_mut();
-        maps.insert(service.clone(), (Rc::clone(&shards), changes, now));
+        let known = KnownShards {
+            shards: Rc::clone(&shards),
+            changes,
+            at: now,
+        };
+        self.shards.borrow_mut().insert(service.clone(), known);
         shards
     }
 
--- a/crates/gateway/src/staging/stage_desk.rs
+++ b/crates/gateway/src/staging/stage_desk.rs
@@ -361,6 +361,12 @@
             let had = targets.iter().filter(|record| queue.calls_to(&record.id));
             owned = had.map(|record| record.id.clone()).collect();
         }
+        // Asked though it never collected: the targets of one collector.
+        if owned.is_empty()
+            && let Some(owner) = shards.owners().first()
+        {
+            owned = shards.targets_of(owner);
+        }
         if owned.is_empty() {
             owned = targets.iter().map(|record| record.id.clone()).collect();
         }
--- a/crates/gateway/src/store/feed_reader.rs
+++ b/crates/gateway/src/store/feed_reader.rs
@@ -116,7 +116,9 @@
             }
         }
         let revision = revision.unwrap_or_default();
-        items.iter().for_each(|item| self.take_config(item));
+        for item in &items {
+            self.take_config(item);
+        }
         let listed = items.iter().filter(|item| paths::is_target(&item.key));
         let records = listed.filter_map(|item| self.decode(item)).collect();
         let is_settled = self.is_settled();
@@ -132,7 +134,9 @@
             StoreEvent::Written(item) => Some(item),
             StoreEvent::Removed { .. } => None,
         });
-        written.for_each(|item| self.take_config(item));
+        for item in written {
+            self.take_config(item);
+        }
         let changes = events.iter().filter_map(|event| match event {
             StoreEvent::Written(item) if paths::is_target(&item.key) => {
                 self.decode(item).map(RegistryChange::Put)
