--- a/crates/gateway/src/peers/gossip_round.rs
+++ b/crates/gateway/src/peers/gossip_round.rs
@@ -22,7 +22,6 @@
     seeds: Vec<SocketAddr>,
     rng: Rng,
     rounds: u64,
-    pace: GossipPace,
     /// Whether the collectors were told that this node takes part.
     is_announced: bool,
 }
@@ -33,26 +32,24 @@
     pub fn new(shared: Shared) -> Self {
         let own = shared.profile.peers;
         let seeds = shared.profile.seeds.iter().copied();
-        let pace = GossipPace::new(shared.now());
         Self {
             seeds: seeds.filter(|seed| *seed != own).collect(),
             rng: Rng::with_seed(shared.random()),
             shared,
             rounds: 0,
-            pace,
             is_announced: false,
         }
     }
 
     /// Gossips until the future is dropped.
     pub async fn run(mut self) {
-        within(self.pace.first_wait(), self.active()).await;
+        within(self.shared.pace.first_wait(), self.active()).await;
         loop {
             self.note_pause();
             let members = self.shared.fleet.borrow_mut().round(self.shared.now());
             let others = i64::try_from(members.len()).unwrap_or(i64::MAX);
             self.shared.metrics.members.set(others);
-            if self.pace.is_settled(self.shared.now()) {
+            if self.shared.pace.is_settled(self.shared.now()) {
                 self.shared.share_reserve(members.len());
             }
             if let Some((node, address)) = self.next_peer() {
@@ -66,7 +63,7 @@
             let now = self.shared.now();
             let is_current = self.shared.contact.borrow().is_current(now);
             let is_supplied = is_current && self.shared.is_ready();
-            let interval = self.pace.interval(is_supplied, now);
+            let interval = self.shared.pace.interval(is_supplied, now);
             let jitter = 0.75 + self.rng.f64() * 0.5;
             Timer::after(Duration::from(interval).mul_f64(jitter)).await;
         }
--- a/crates/gateway/src/process/gateway_state.rs
+++ b/crates/gateway/src/process/gateway_state.rs
@@ -11,7 +11,7 @@
 use slog::Logger;
 use verbenahub_core::{
     clock::{ClockTime, TimeSpan},
-    fleet::{FleetMember, FleetTable},
+    fleet::{FleetMember, FleetTable, GossipPace},
     ids::{IncarnationNumber, PoolName},
     policy::retry::TrafficBudget,
     routes::{CallerPatience, RouteConfig, RouteSpec},
@@ -56,6 +56,8 @@
     pub loads: RefCell<TargetLoads>,
     /// Other gateways.
     pub fleet: RefCell<FleetTable>,
+    /// How often the node gossips, by the time since its start.
+    pub pace: GossipPace,
     /// Rises with each change of targets or configuration.
     pub changes: Cell<u64>,
     /// Told of each change of targets, configuration or contact.
@@ -113,6 +115,7 @@
         Self {
             retries: retry_budget(&profile),
             fleet: RefCell::new(FleetTable::new(own)),
+            pace: GossipPace::new(clock.now()),
             config: RefCell::default(),
             registry: RefCell::default(),
             leaving: RefCell::default(),
