Revert holding staged work of a common start; one type a file

Callers of those seconds have waited for the nodes already, so a wait costs more than the collisions that it saves.

Also: LeavingNotice, NodeStart and AnswerShare in files of their own; no change of what they do.

--- a/crates/core/src/fleet/gossip_pace.rs
+++ b/crates/core/src/fleet/gossip_pace.rs
@@ -12,8 +12,6 @@
 /// before it tells anyone of itself. Told earlier, the news that it does would
 /// have to reach all others a second time.
 const FIRST_WAIT: TimeSpan = TimeSpan::from_millis(300);
-/// Time after a common start within which its nodes agree on who collects.
-const AGREE_SPAN: TimeSpan = TimeSpan::from_millis(700);
 /// One round in so many goes to a seed, so that parts of a fleet that don't
 /// know of each other meet again.
 const SEED_ROUNDS: u64 = 8;
@@ -51,17 +49,6 @@
         FIRST_WAIT
     }
 
-    /// How long shared work is best held back: until the nodes of a common start
-    /// know each other. Begun earlier, each of them would call all targets. A
-    /// node that knows an established one need not wait.
-    #[must_use]
-    pub fn agrees_in(&self, knows_established: bool, now: ClockTime) -> TimeSpan {
-        if knows_established {
-            return TimeSpan::ZERO;
-        }
-        now.until(self.started + AGREE_SPAN)
-    }
-
     /// Whether a round goes to a seed.
     #[must_use]
     pub const fn wants_seed(round: u64) -> bool {
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 mod fleet_member;
 mod fleet_table;
 mod gossip_pace;
+mod node_start;
 mod reader_rank;
 mod weighted_order;
 
@@ -10,6 +11,7 @@
     fleet_member::FleetMember,
     fleet_table::FleetTable,
     gossip_pace::GossipPace,
-    reader_rank::{NodeStart, ReaderPlan, ReaderRank},
+    node_start::NodeStart,
+    reader_rank::{ReaderPlan, ReaderRank},
     weighted_order::weighted_order,
 };
--- a/crates/core/src/fleet/reader_rank.rs
+++ b/crates/core/src/fleet/reader_rank.rs
@@ -1,5 +1,5 @@
-use super::weighted_order::weighted_order;
-use crate::{clock::TimeSpan, ids::NodeId};
+use super::{NodeStart, weighted_order::weighted_order};
+use crate::ids::NodeId;
 
 /// Nodes that read the platform's store for all. Four bear the loss of most of
 /// them, and their calls don't grow with the fleet.
@@ -8,13 +8,6 @@
 /// for a store that turns a third of all nodes away.
 const STANDBYS: usize = 12;
 
-/// Time after its start for which a node leaves reading to the seeds: until it
-/// knows the others, each one would rank itself as a reader.
-const START_SPAN: TimeSpan = TimeSpan::from_millis(5_000);
-/// Time after its start for which a node waits for the seeds, which may start a
-/// moment later, before it reads the store all the same.
-const SEED_GRACE: TimeSpan = TimeSpan::from_millis(1_500);
-
 /// What a node does to learn what the store holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReaderRank {
@@ -71,32 +64,3 @@
         is_needed && !start.awaits_seeds()
     }
 }
-
-/// What a node is in the first seconds of its run.
-///
-/// Answers to this load pattern: all nodes start at the same moment, or one
-/// after the other, and know nobody. If each of them read the store until it
-/// knew the fleet, a start of 300 nodes would cost more calls than a day.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct NodeStart {
-    /// Whether others ask this node first.
-    pub is_seed: bool,
-    /// Whether the node knows of seeds.
-    pub has_seeds: bool,
-    /// Time since its start.
-    pub running: TimeSpan,
-}
-
-impl NodeStart {
-    /// Whether the node may not know the fleet yet.
-    #[must_use]
-    pub fn is_new(&self) -> bool {
-        self.running < START_SPAN
-    }
-
-    /// Whether seeds may still be about to start.
-    #[must_use]
-    pub fn awaits_seeds(&self) -> bool {
-        self.has_seeds && self.running < SEED_GRACE
-    }
-}
--- a/crates/core/src/targets/leaving_targets.rs
+++ b/crates/core/src/targets/leaving_targets.rs
@@ -1,8 +1,6 @@
 use std::collections::BTreeMap;
 
-use serde::{Deserialize, Serialize};
-
-use super::TargetRecord;
+use super::{LeavingNotice, TargetRecord};
 use crate::{
     clock::{ClockTime, TimeSpan},
     ids::TargetId,
@@ -14,17 +12,6 @@
 /// Notices that are kept at most, so that a fault can't fill the memory.
 const NOTICE_LIMIT: usize = 4_096;
 
-/// A target's own word that one of its runs is leaving.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LeavingNotice {
-    /// The target.
-    pub target: TargetId,
-    /// Unix time of the start of the run in milliseconds, if it is known.
-    pub started_at: Option<u64>,
-    /// Time since the target said so.
-    pub age: TimeSpan,
-}
-
 /// Which runs of targets have said in an answer that they leave.
 ///
 /// Answers to this load pattern: services are replaced under load while the
--- a/crates/core/src/targets/mod.rs
+++ b/crates/core/src/targets/mod.rs
@@ -2,6 +2,7 @@
 //! the registry is away.
 
 mod choice_ask;
+mod leaving_notice;
 mod leaving_targets;
 mod load_report;
 mod registry_change;
@@ -13,14 +14,8 @@
 mod turn_away;
 
 pub use self::{
-    choice_ask::ChoiceAsk,
-    leaving_targets::{LeavingNotice, LeavingTargets},
-    load_report::LoadReport,
-    registry_change::RegistryChange,
-    store_contact::StoreContact,
-    target_loads::TargetLoads,
-    target_record::TargetRecord,
-    target_registry::TargetRegistry,
-    target_state::TargetState,
-    turn_away::TurnAway,
+    choice_ask::ChoiceAsk, leaving_notice::LeavingNotice, leaving_targets::LeavingTargets,
+    load_report::LoadReport, registry_change::RegistryChange, store_contact::StoreContact,
+    target_loads::TargetLoads, target_record::TargetRecord, target_registry::TargetRegistry,
+    target_state::TargetState, turn_away::TurnAway,
 };
--- a/crates/core/tests/gateway_fleet.rs
+++ b/crates/core/tests/gateway_fleet.rs
@@ -406,14 +406,7 @@
 }
 
 #[test]
-fn shared_work_waits_for_the_nodes_of_a_common_start_and_for_no_others() {
-    let pace = GossipPace::new(at(10_000));
-    assert_eq!(
-        pace.agrees_in(false, at(10_100)),
-        TimeSpan::from_millis(600)
-    );
-    assert!(pace.agrees_in(false, at(10_700)).is_zero());
-    assert!(pace.agrees_in(true, at(10_000)).is_zero());
+fn node_that_has_gossiped_for_three_seconds_knows_the_fleet() {
     let mut table = FleetTable::new(member(0, 0, 0.25));
     table.merge(vec![member(1, 14, 0.25)], at(10_000));
     assert!(!table.knows_established());
--- a/crates/gateway/src/staging/stage_client.rs
+++ b/crates/gateway/src/staging/stage_client.rs
@@ -92,7 +92,6 @@
     /// Has the pieces of a set produced by their collector.
     pub async fn run(&self, shared: &Shared, ask: StageAsk) -> StageAnswer {
         let begun = shared.now();
-        self.await_fleet(shared).await;
         let mut failure = String::from("no collector");
         let mut told: Option<NodeId> = None;
         for offer in 1..=OFFERS {
@@ -129,20 +128,6 @@
         StageAnswer::Failed { reason: failure }
     }
 
-    /// Waits until the nodes of a common start know each other.
-    async fn await_fleet(&self, shared: &Shared) {
-        let is_alone = shared
-            .profile
-            .seeds
-            .iter()
-            .all(|seed| *seed == shared.profile.peers);
-        let established = is_alone || shared.fleet.borrow().knows_established();
-        let wait = shared.pace.agrees_in(established, shared.now());
-        if !wait.is_zero() {
-            Timer::after(wait.into()).await;
-        }
-    }
-
     async fn offer(
         &self,
         shared: &Shared,
--- a/crates/gateway/src/targets/mod.rs
+++ b/crates/gateway/src/targets/mod.rs
@@ -1,13 +1,15 @@
 //! Connections and calls to targets.
 
 mod answer_room;
+mod answer_share;
 mod channel_pool;
 mod send_error;
 mod target_exchange;
 mod wait_limit;
 
 pub use self::{
-    answer_room::{AnswerRoom, AnswerShare},
+    answer_room::AnswerRoom,
+    answer_share::AnswerShare,
     channel_pool::ChannelPool,
     send_error::SendError,
     target_exchange::{ExchangeAsk, TargetExchange},
