--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -236,6 +236,19 @@
         }
     }
 
+    /// Waits until all gateways know each other.
+    fn wait_fleet(&self) {
+        let members = format!("verbenahub_gateway_members {}", self.gateways.len());
+        for gateway in &self.gateways {
+            wait_for("the fleet", || {
+                let ask = "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n";
+                RawAnswer::ask(gateway.metrics, ask)
+                    .text()
+                    .contains(&members)
+            });
+        }
+    }
+
     fn made(&self) -> Vec<Value> {
         self.stages.iter().flat_map(StageTarget::made).collect()
     }
@@ -301,13 +314,7 @@
 #[test]
 fn pieces_of_requests_at_different_nodes_share_calls() {
     let fixture = StageFixture::start(3, Duration::from_millis(150));
-    // All nodes know each other once each collects or asks.
-    for gateway in &fixture.gateways {
-        wait_for("the fleet", || {
-            let text = RawAnswer::ask(gateway.metrics, "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
-            text.text().contains("verbenahub_gateway_members 3")
-        });
-    }
+    fixture.wait_fleet();
     let callers: Vec<_> = (0..24)
         .map(|number| {
             let front = fixture.gateways[number % 3].front;
@@ -332,28 +339,20 @@
 #[test]
 fn collector_that_stops_hands_over_what_waits_and_calls_no_more() {
     let fixture = StageFixture::start(3, Duration::from_millis(300));
-    for gateway in &fixture.gateways {
-        wait_for("the fleet", || {
-            let text = RawAnswer::ask(gateway.metrics, "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
-            text.text().contains("verbenahub_gateway_members 3")
-        });
-    }
-    let queues = |gateway: &&GatewayProcess, service: &str| {
+    fixture.wait_fleet();
+    let collects = |gateway: &&GatewayProcess| {
         let lines = gateway.lines();
         let mut queued = lines
             .iter()
             .filter(|line| line["msg"] == "stage: Set queued.");
-        queued.any(|line| line["service"] == service)
+        queued.any(|line| line["service"] == "stage-a")
     };
     assert!(
         staged("first", "1,1,0")
             .ask(fixture.gateways[0].front)
             .is_whole
     );
-    let collector = fixture
-        .gateways
-        .iter()
-        .find(|gateway| queues(gateway, "stage-a"));
+    let collector = fixture.gateways.iter().find(collects);
     let collector = collector.expect("a collector");
     let fronts: Vec<_> = fixture
         .gateways
