Give results up with the first event of every stream, and make them anew to resume

Cause: inputs of streams that may be resumed lay at their makers until the stream's end, several times as long as an engine reads them. In a burst that left room for calls of 3 to 4 of 8 pieces while 100 waited. Ruled out: time of the targets (full calls carry 576 pieces a second, 430 are asked for). Change: the first event gives them up whatever the route says; a stream that goes on at another engine has its pieces made anew by the time at which its caller leaves, on the retry budget, and isn't turned away for others.

--- a/crates/gateway/src/front/stream_flow.rs
+++ b/crates/gateway/src/front/stream_flow.rs
@@ -1,5 +1,8 @@
 use bytes::{BufMut, Bytes, BytesMut};
-use verbenahub_core::{clock::TimeSpan, policy::health::CallOutcome};
+use verbenahub_core::{
+    clock::{ClockTime, TimeSpan},
+    policy::health::CallOutcome,
+};
 use verbenahub_platform::headers;
 
 use super::{
@@ -54,10 +57,9 @@
     let mut send = TargetSend::new(shared, request);
     let mut guard = None;
     if !request.route.stages.is_empty() {
-        match run_stages(shared, request, &send).await {
+        match run_stages(shared, request, &send, None).await {
             Ok(output) => {
-                send.inputs = Some(output.inputs);
-                send.zone = output.zone;
+                send.take_inputs(&output);
                 guard = Some(output.guard);
             }
             Err(answer) => return StreamStart::Own(answer),
@@ -133,6 +135,9 @@
         if !self.send.request.route.resumable || !self.send.may_retry() {
             return false;
         }
+        if !self.restore_inputs().await {
+            return false;
+        }
         let last = self.last_event.clone();
         let Ok(exchange) = self.send.begin(last.as_deref()).await else {
             return false;
@@ -144,6 +149,28 @@
         true
     }
 
+    /// Has the stages' results made anew if they were given up.
+    async fn restore_inputs(&mut self) -> bool {
+        let (shared, request) = (self.send.shared, self.send.request);
+        if request.route.stages.is_empty() || self.guard.is_some() {
+            return true;
+        }
+        // Half of the silence after which callers leave may be over by now.
+        let needed_by = shared.now() + request.route.stall_limit();
+        match run_stages(shared, request, &self.send, Some(needed_by)).await {
+            Ok(output) => {
+                self.send.take_inputs(&output);
+                self.guard = Some(output.guard);
+                true
+            }
+            Err(answer) => {
+                slog::warn!(shared.log, "request: Results not made again.";
+                    "request" => &request.id, "reason" => answer.code());
+                false
+            }
+        }
+    }
+
     async fn pass_events(&mut self, caller: &HttpStream) -> EventsEnd {
         let shared = self.send.shared;
         // Bytes that end no event are no progress.
@@ -204,11 +231,10 @@
             seconds
                 .with_label_values(&[kind])
                 .observe(took.as_secs_f64());
-            // The target has read its inputs; a stream that may be resumed
-            // needs them once more elsewhere.
-            if !request.route.resumable {
-                self.guard = None;
-            }
+            // The target has read its inputs. Kept for the few streams that go on
+            // elsewhere, they would lie until the end of all; these have theirs
+            // made anew.
+            self.guard = None;
         }
         let id = event_id(event).map(str::to_owned);
         self.last_event = id
@@ -227,10 +253,13 @@
     }
 }
 
+/// Runs the stages of a request: before its first send, or once more for a
+/// stream that needs them by `repeat_by`.
 async fn run_stages(
     shared: &Shared,
     request: &ActiveRequest,
     send: &TargetSend<'_>,
+    repeat_by: Option<ClockTime>,
 ) -> Result<StageOutput, OwnAnswer> {
     let fields = &request.head.headers;
     let pieces = fields.text(headers::PIECES).and_then(parse_pieces);
@@ -238,6 +267,10 @@
     if pieces.len() != request.route.stages.len() {
         return Err(OwnAnswer::bad_request("pieces_do_not_fit"));
     }
+    let dead_at = repeat_by.map_or_else(
+        || request.first_event_by(),
+        |repeat_by| repeat_by.min(request.limit_at),
+    );
     let flow = StageFlow {
         shared,
         config: &request.config,
@@ -246,10 +279,11 @@
         key: fields.text(headers::PIECE_KEY).unwrap_or_default(),
         pieces: &pieces,
         home: send.home(),
-        goal_at: request.goal_at(),
-        dead_at: request.first_event_by(),
+        goal_at: repeat_by.unwrap_or(request.goal_at()),
+        dead_at,
+        is_repeat: repeat_by.is_some(),
     };
-    let left = shared.now().until(request.first_event_by());
+    let left = shared.now().until(dead_at);
     let (code, retry_after) = match within(left, flow.run()).await {
         Some(Ok(output)) => return Ok(output),
         Some(Err(StageFailure::Refused { retry_after })) => ("stages_full", retry_after),
--- a/crates/gateway/src/front/target_send.rs
+++ b/crates/gateway/src/front/target_send.rs
@@ -16,6 +16,7 @@
 };
 use crate::{
     process::Shared,
+    staging::StageOutput,
     targets::{ExchangeAsk, SendError, TargetExchange, within},
 };
 
@@ -57,6 +58,12 @@
         }
     }
 
+    /// Takes over what the stages have produced.
+    pub(super) fn take_inputs(&mut self, output: &StageOutput) {
+        self.inputs = Some(output.inputs.clone());
+        self.zone.clone_from(&output.zone);
+    }
+
     /// Zone of the target that may hold the request's prompt.
     pub(super) fn home(&self) -> Option<ZoneName> {
         let candidates = self.shared.ready_targets(&self.request.service);
--- a/crates/gateway/src/staging/stage_flow.rs
+++ b/crates/gateway/src/staging/stage_flow.rs
@@ -64,6 +64,9 @@
     pub goal_at: ClockTime,
     /// When it must be over.
     pub dead_at: ClockTime,
+    /// Whether its stages have run before. An engine has worked for it, so
+    /// that it isn't turned away for others.
+    pub is_repeat: bool,
 }
 
 impl StageFlow<'_> {
@@ -178,7 +181,7 @@
             input,
             goal_left: now.until(self.goal_at - after),
             dead_left: now.until(dead_at - after),
-            refusable: is_first,
+            refusable: is_first && !self.is_repeat,
             movable: true,
         }
     }
