Rank the engines for a prompt in one order for all nodes, with slack by their slots

Change: the first sound engine within the bound, in the order of rendezvous hashing; the slack is an eighth of the engine's slots. Test: the line that a full holder has no holder beside it is replaced by a stricter one, that all nodes name the same next one; a second test finds the same for one that fails.

--- a/crates/core/src/targets/target_loads.rs
+++ b/crates/core/src/targets/target_loads.rs
@@ -26,8 +26,11 @@
 const NOISE: f64 = 0.2;
 /// Load at which a target keeps requests of its affinity, against the mean.
 const AFFINITY_FACTOR: f64 = 1.5;
-/// Load that an affinity may add to the mean whatever the factor says.
-const AFFINITY_SLACK: f64 = 4.0;
+/// Part of a target's slots that an affinity may fill beyond that. With so few
+/// requests more its steps are hardly longer.
+const AFFINITY_SLACK: f64 = 0.125;
+/// Penalty from which a target doesn't get requests for what it may hold.
+const SOUND_PENALTY: f64 = 2.0;
 /// When targets are left out: three failures in a row, for a second at first.
 /// Faults of a few seconds are usual, so the longest pause is short as well.
 const HEALTH_RULE: HealthRule = HealthRule {
@@ -148,8 +151,7 @@
             .retain(|target, load| load.in_flight > 0 || is_known(target));
     }
 
-    /// Chooses a target for a request: the one that may hold its prompt if its
-    /// load allows it, then one in the wanted zone, then the one with the least
+    /// Chooses a target for a request: the one that may hold its prompt, then one in the wanted zone, then the one with the least
     /// expected work.
     #[must_use]
     pub fn choose(
@@ -170,7 +172,10 @@
         self.by_load(&pool, ask).map(Arc::clone)
     }
 
-    /// The target that may hold a request's prompt, if its load allows it.
+    /// The target that may hold a request's prompt. All nodes rank the targets in
+    /// the same order for a prompt and take the first that is sound and not
+    /// loaded far above the others, so that those which a full or failing one
+    /// turns away meet at the same next one.
     #[must_use]
     pub fn holder(
         &self,
@@ -220,18 +225,19 @@
         ask: &ChoiceAsk<'_>,
     ) -> Option<&'a Arc<TargetRecord>> {
         let affinity = ask.affinity?;
-        let holder = pool.iter().max_by_key(|record| {
-            rendezvous::score(affinity, rendezvous::text_hash(record.id.as_str()))
-        })?;
         let total: f64 = pool
             .iter()
             .map(|record| self.estimate(record, ask.now))
             .sum();
         let mean = total / numbers::count(pool.len()).max(1.0);
-        let load = self.estimate(holder, ask.now);
-        let is_sound = self.penalty(holder, ask.now) < 2.0;
-        let fits = load <= mean * AFFINITY_FACTOR + AFFINITY_SLACK;
-        (is_sound && fits).then_some(*holder)
+        let fitting = pool.iter().copied().filter(|record| {
+            let slack = f64::from(record.slots) * AFFINITY_SLACK;
+            let fits = self.estimate(record, ask.now) <= mean * AFFINITY_FACTOR + slack;
+            fits && self.penalty(record, ask.now) < SOUND_PENALTY
+        });
+        fitting.max_by_key(|record| {
+            rendezvous::score(affinity, rendezvous::text_hash(record.id.as_str()))
+        })
     }
 
     fn by_load<'a>(
--- a/crates/core/tests/gateway_targets.rs
+++ b/crates/core/tests/gateway_targets.rs
@@ -178,9 +178,42 @@
     for _ in 0..8 {
         loads.begin(&holder.id);
     }
-    let chosen = loads.choose(&targets, &ask(at(0), 0)).expect("a target");
-    assert_ne!(chosen.id, holder.id);
-    assert!(loads.holder(&targets, &ask(at(0), 0)).is_none());
+    // What a full holder turns away meets at one next target.
+    let next = loads.holder(&targets, &ask(at(0), 0)).expect("a holder");
+    assert_ne!(next.id, holder.id);
+    for seed in 0..20 {
+        let chosen = loads.choose(&targets, &ask(at(0), seed)).expect("a target");
+        assert_eq!(chosen.id, next.id);
+    }
+}
+
+#[test]
+fn nodes_that_find_a_holder_failing_choose_the_same_next_one() {
+    let targets = targets(6);
+    let ask = |seed| ChoiceAsk {
+        affinity: Some(0x5eed),
+        ..ask(at(10), seed)
+    };
+    let holder = TargetLoads::default()
+        .holder(&targets, &ask(0))
+        .expect("one");
+    let next_of = |failures: usize, seed: u64| {
+        let mut loads = TargetLoads::default();
+        for _ in 0..failures {
+            loads.begin(&holder.id);
+            loads.end(&holder.id, CallOutcome::Failed, at(0));
+        }
+        loads
+            .choose(&targets, &ask(seed))
+            .expect("a target")
+            .id
+            .clone()
+    };
+    let next = next_of(3, 0);
+    assert_ne!(next, holder.id);
+    for (failures, seed) in [(2, 1), (3, 2), (5, 3)] {
+        assert_eq!(next_of(failures, seed), next);
+    }
 }
 
 #[test]
