Order what the store has told by its era, and believe no copy that can't be true

Cause: in a drill the store comes back from a copy some seconds old. Revisions go back and are given out again, so a node that goes by revisions alone keeps what was lost, ignores what is new, and takes the copy's records of targets that have left, and of keys that were withdrawn, for the truth. Ruled out: ordering configurations by era and revision alone, which would bring the copy's older version into force until the operator writes again. Change: StoreRevision (era, number) in place of bare revisions in configuration, registry, removals, gossip, follow replies and logs; configurations ordered by the operator's version first; runs that have left remembered; watches, listings and late answers kept to one era; the stand-in restores from copies, with late answers.

--- a/crates/core/src/ids/mod.rs
+++ b/crates/core/src/ids/mod.rs
@@ -4,6 +4,7 @@
 mod macros;
 
 mod attempt_number;
+mod era_number;
 mod generation_number;
 mod incarnation_number;
 mod model_name;
@@ -15,14 +16,16 @@
 mod request_id;
 mod revision_number;
 mod stage_name;
+mod store_revision;
 mod target_id;
 mod workspace_id;
 mod zone_name;
 
 pub use self::{
-    attempt_number::AttemptNumber, generation_number::GenerationNumber,
+    attempt_number::AttemptNumber, era_number::EraNumber, generation_number::GenerationNumber,
     incarnation_number::IncarnationNumber, model_name::ModelName, name_error::NameError,
     node_id::NodeId, pipeline_name::PipelineName, pool_name::PoolName, region_name::RegionName,
     request_id::RequestId, revision_number::RevisionNumber, stage_name::StageName,
-    target_id::TargetId, workspace_id::WorkspaceId, zone_name::ZoneName,
+    store_revision::StoreRevision, target_id::TargetId, workspace_id::WorkspaceId,
+    zone_name::ZoneName,
 };
--- a/crates/core/src/routes/mod.rs
+++ b/crates/core/src/routes/mod.rs
@@ -3,6 +3,7 @@
 
 mod caller_limits;
 mod caller_patience;
+mod config_rank;
 mod graph_stage;
 mod route_config;
 mod route_kind;
@@ -16,6 +17,7 @@
 pub use self::{
     caller_limits::CallerLimits,
     caller_patience::CallerPatience,
+    config_rank::ConfigRank,
     graph_stage::GraphStage,
     route_config::RouteConfig,
     route_kind::RouteKind,
--- a/crates/core/src/routes/route_config.rs
+++ b/crates/core/src/routes/route_config.rs
@@ -2,9 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{CallerLimits, RouteSpec, ServiceSpec, WorkspaceKeys};
+use super::{CallerLimits, ConfigRank, RouteSpec, ServiceSpec, WorkspaceKeys};
 use crate::{
-    ids::{PoolName, RevisionNumber},
+    ids::{PoolName, StoreRevision},
     units::TokenCount,
 };
 
@@ -14,9 +14,8 @@
 pub struct RouteConfig {
     /// The operator's version.
     pub version: u64,
-    /// The store's revision of the version. Versions are adopted only upward
-    /// of it.
-    pub revision: RevisionNumber,
+    /// The store's revision of the version.
+    pub revision: StoreRevision,
     /// Routes by host.
     pub hosts: HashMap<String, Vec<Arc<RouteSpec>>>,
     /// Services by name.
@@ -28,6 +27,16 @@
 }
 
 impl RouteConfig {
+    /// Where it stands against others. Configurations are adopted only upward of
+    /// it.
+    #[must_use]
+    pub const fn rank(&self) -> ConfigRank {
+        ConfigRank {
+            version: self.version,
+            revision: self.revision,
+        }
+    }
+
     /// The route of a request: the one of its host with the longest prefix
     /// that begins the path. A port in `host` and the case of its letters
     /// don't matter; `path` is compared byte for byte, without a query.
--- a/crates/core/src/targets/mod.rs
+++ b/crates/core/src/targets/mod.rs
@@ -2,6 +2,7 @@
 //! the registry is away.
 
 mod choice_ask;
+mod departed_run;
 mod leaving_notice;
 mod leaving_targets;
 mod load_report;
--- a/crates/core/src/targets/registry_change.rs
+++ b/crates/core/src/targets/registry_change.rs
@@ -1,7 +1,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::TargetRecord;
-use crate::ids::{RevisionNumber, TargetId};
+use crate::ids::{StoreRevision, TargetId};
 
 /// One change of the registry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -13,7 +13,7 @@
         /// The target.
         id: TargetId,
         /// Revision of the removal.
-        revision: RevisionNumber,
+        revision: StoreRevision,
     },
 }
 
--- a/crates/core/src/targets/store_contact.rs
+++ b/crates/core/src/targets/store_contact.rs
@@ -35,6 +35,12 @@
         is_new
     }
 
+    /// Notes that the store has come back from a copy: what is missing there may
+    /// be written again.
+    pub const fn note_restore(&mut self, now: ClockTime) {
+        self.disturbed_at = Some(now);
+    }
+
     /// Notes that what another node holds is held here too, and was current
     /// `age` ago.
     pub fn note_confirmation(&mut self, age: TimeSpan, now: ClockTime) {
--- a/crates/core/src/targets/target_record.rs
+++ b/crates/core/src/targets/target_record.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::TargetState;
-use crate::ids::{PoolName, RevisionNumber, TargetId, ZoneName};
+use crate::ids::{PoolName, StoreRevision, TargetId, ZoneName};
 
 /// What a target has registered.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -24,5 +24,5 @@
     /// under one identifier apart.
     pub started_at: Option<u64>,
     /// The registry's revision of the record.
-    pub revision: RevisionNumber,
+    pub revision: StoreRevision,
 }
--- a/crates/core/src/targets/target_registry.rs
+++ b/crates/core/src/targets/target_registry.rs
@@ -3,8 +3,8 @@
     sync::Arc,
 };
 
-use super::{RegistryChange, TargetRecord, TargetState};
-use crate::ids::{PoolName, RevisionNumber, TargetId};
+use super::{RegistryChange, TargetRecord, TargetState, departed_run::DepartedRun};
+use crate::ids::{PoolName, RevisionNumber, StoreRevision, TargetId};
 
 /// Removals that are kept for processes that follow this one.
 const REMOVALS: usize = 256;
@@ -23,20 +23,30 @@
 /// live targets lapse meanwhile, and callers must be served all the same.
 /// Removals that reach the process before its contact has settled count only if
 /// the record stays missing. At any other time a removal is in force at once.
+///
+/// A store that has come back from a copy lists what was true some seconds
+/// before: targets that have left since then, or that leave, as ready. Records
+/// of its new era replace those held, but for what can't be: a run that leaves
+/// doesn't stay, an older run doesn't follow a newer one, and the copied record
+/// of a run that is gone doesn't bring it back. Targets that live write again.
 #[derive(Clone, Debug, Default)]
 pub struct TargetRegistry {
     targets: BTreeMap<TargetId, HeldTarget>,
-    revision: RevisionNumber,
+    revision: StoreRevision,
+    /// Revision at which the present era was first seen.
+    era_start: RevisionNumber,
+    /// Runs whose records were removed, the oldest first.
+    departed: VecDeque<DepartedRun>,
     /// Removals, the oldest first.
-    removals: VecDeque<(RevisionNumber, TargetId)>,
+    removals: VecDeque<(StoreRevision, TargetId)>,
     /// Revision from which on all removals are kept.
-    removals_from: RevisionNumber,
+    removals_from: StoreRevision,
 }
 
 impl TargetRegistry {
     /// Revision up to which all changes are known.
     #[must_use]
-    pub const fn revision(&self) -> RevisionNumber {
+    pub const fn revision(&self) -> StoreRevision {
         self.revision
     }
 
@@ -45,9 +55,12 @@
     pub fn apply(
         &mut self,
         changes: Vec<RegistryChange>,
-        revision: RevisionNumber,
+        revision: StoreRevision,
         is_settled: bool,
     ) -> bool {
+        if revision.era < self.revision.era {
+            return false;
+        }
         let mut is_changed = false;
         for change in changes {
             is_changed |= match change {
@@ -64,12 +77,15 @@
     pub fn replace(
         &mut self,
         records: Vec<TargetRecord>,
-        revision: RevisionNumber,
+        revision: StoreRevision,
         is_settled: bool,
     ) -> bool {
         if revision < self.revision {
             return false;
         }
+        if revision.era > self.revision.era {
+            self.era_start = revision.number;
+        }
         let mut is_changed = false;
         let listed: BTreeSet<TargetId> = records.iter().map(|record| record.id.clone()).collect();
         for record in records {
@@ -99,8 +115,7 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in &over {
-            self.targets.remove(id);
-            self.note_removal(id.clone(), self.revision);
+            self.drop_target(id, self.revision);
         }
         over
     }
@@ -119,8 +134,9 @@
 
     /// What has changed since a revision, if that is still known.
     #[must_use]
-    pub fn changes_since(&self, revision: RevisionNumber) -> Option<Vec<RegistryChange>> {
-        if revision < self.removals_from || revision == RevisionNumber::ZERO {
+    pub fn changes_since(&self, revision: StoreRevision) -> Option<Vec<RegistryChange>> {
+        let is_known = revision.era == self.revision.era && revision >= self.removals_from;
+        if !is_known || revision == StoreRevision::ZERO {
             return None;
         }
         let removals = self.removals.iter().filter(|(at, _)| *at >= revision);
@@ -176,8 +192,12 @@
         self.targets.is_empty()
     }
 
-    fn put(&mut self, record: TargetRecord) -> bool {
+    fn put(&mut self, mut record: TargetRecord) -> bool {
         let Some(held) = self.targets.get_mut(&record.id) else {
+            let mut departed = self.departed.iter();
+            if departed.any(|run| run.is_copied_in(&record, self.era_start)) {
+                return false;
+            }
             let held = HeldTarget {
                 record: Arc::new(record),
                 is_missing: false,
@@ -188,6 +208,19 @@
         if record.revision < held.record.revision {
             return false;
         }
+        if record.revision == held.record.revision {
+            held.is_missing = false;
+            return false;
+        }
+        let is_same_run = record.started_at == held.record.started_at;
+        if record.revision.era > held.record.revision.era {
+            if record.started_at < held.record.started_at {
+                return false;
+            }
+            if is_same_run && held.record.state == TargetState::Draining {
+                record.state = TargetState::Draining;
+            }
+        }
         held.is_missing = false;
         let is_same = TargetRecord {
             revision: held.record.revision,
@@ -197,7 +230,7 @@
         !is_same
     }
 
-    fn remove(&mut self, id: &TargetId, revision: RevisionNumber, is_settled: bool) -> bool {
+    fn remove(&mut self, id: &TargetId, revision: StoreRevision, is_settled: bool) -> bool {
         let Some(held) = self.targets.get_mut(id) else {
             return false;
         };
@@ -209,12 +242,25 @@
             held.is_missing = true;
             return false;
         }
-        self.targets.remove(id);
-        self.note_removal(id.clone(), revision);
+        self.drop_target(id, revision);
         true
     }
 
-    fn note_removal(&mut self, id: TargetId, revision: RevisionNumber) {
+    fn drop_target(&mut self, id: &TargetId, revision: StoreRevision) {
+        if let Some(held) = self.targets.remove(id) {
+            self.departed.push_back(DepartedRun {
+                id: id.clone(),
+                started_at: held.record.started_at,
+                gone_at: revision,
+            });
+            if self.departed.len() > REMOVALS {
+                self.departed.pop_front();
+            }
+        }
+        self.note_removal(id.clone(), revision);
+    }
+
+    fn note_removal(&mut self, id: TargetId, revision: StoreRevision) {
         self.removals.push_back((revision, id));
         if self.removals.len() > REMOVALS
             && let Some((forgotten, _)) = self.removals.pop_front()
--- a/crates/core/tests/engine_book.rs
+++ b/crates/core/tests/engine_book.rs
@@ -7,7 +7,7 @@
 use verbenahub_core::{
     clock::{ClockTime, TimeSpan},
     engines::{EngineAsk, EngineBook, PromptEnd, PromptPart},
-    ids::{PoolName, RevisionNumber, TargetId, ZoneName},
+    ids::{EraNumber, PoolName, StoreRevision, TargetId, ZoneName},
     policy::health::CallOutcome,
     targets::{ChoiceAsk, TargetLoads, TargetRecord, TargetState},
     units::TokenCount,
@@ -32,7 +32,7 @@
         slots: 128,
         state: TargetState::Ready,
         started_at: Some(1),
-        revision: RevisionNumber::new(1),
+        revision: StoreRevision::new(EraNumber::ZERO, 1),
     };
     (0..count).map(|number| Arc::new(record(number))).collect()
 }
--- a/crates/core/tests/gateway_targets.rs
+++ b/crates/core/tests/gateway_targets.rs
@@ -4,7 +4,7 @@
 
 use verbenahub_core::{
     clock::{ClockTime, TimeSpan},
-    ids::{PoolName, RevisionNumber, TargetId, ZoneName},
+    ids::{EraNumber, PoolName, StoreRevision, TargetId, ZoneName},
     policy::health::CallOutcome,
     routes::{GraphStage, StageService},
     staging::{GraphProgress, PathEstimate, QueueBacklog},
@@ -25,7 +25,7 @@
         slots: 8,
         state: TargetState::Ready,
         started_at: None,
-        revision: RevisionNumber::new(1),
+        revision: StoreRevision::new(EraNumber::ZERO, 1),
     };
     (0..count).map(|number| Arc::new(record(number))).collect()
 }
--- a/crates/core/tests/target_notices.rs
+++ b/crates/core/tests/target_notices.rs
@@ -5,7 +5,7 @@
 
 use verbenahub_core::{
     clock::{ClockTime, TimeSpan},
-    ids::{PoolName, RevisionNumber, TargetId, ZoneName},
+    ids::{EraNumber, PoolName, StoreRevision, TargetId, ZoneName},
     policy::retry::TrafficBudget,
     targets::{ChoiceAsk, LeavingTargets, TargetLoads, TargetRecord, TargetState, TurnAway},
 };
@@ -27,7 +27,7 @@
         slots: 8,
         state: TargetState::Ready,
         started_at,
-        revision: RevisionNumber::new(1),
+        revision: StoreRevision::new(EraNumber::ZERO, 1),
     })
 }
 
--- a/crates/gateway/src/peers/gossip_message.rs
+++ b/crates/gateway/src/peers/gossip_message.rs
@@ -2,8 +2,8 @@
 use verbenahub_core::{
     clock::{ClockTime, TimeSpan},
     fleet::FleetMember,
-    ids::RevisionNumber,
-    routes::RouteConfig,
+    ids::StoreRevision,
+    routes::{ConfigRank, RouteConfig},
     targets::{LeavingNotice, RegistryChange, TargetRecord},
 };
 
@@ -12,10 +12,10 @@
 /// What a node holds, as it tells others.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct HoldingNote {
-    /// Revision of its configuration.
-    pub config: RevisionNumber,
+    /// Its configuration, against others.
+    pub config: ConfigRank,
     /// Revision of its targets.
-    pub targets: RevisionNumber,
+    pub targets: StoreRevision,
     /// Time since both were current, unless the store doesn't answer it.
     pub age: Option<TimeSpan>,
     /// Whether targets that it misses are gone for good.
@@ -83,9 +83,9 @@
     pub fn of(state: &GatewayState, now: ClockTime) -> Self {
         let contact = state.contact.borrow();
         let config = state.config.borrow();
-        let revision = config.as_ref().map(|held| held.revision);
+        let rank = config.as_ref().map(|held| held.rank());
         Self {
-            config: revision.unwrap_or_default(),
+            config: rank.unwrap_or_default(),
             targets: state.registry.borrow().revision(),
             age: contact.age(now),
             is_settled: contact.is_settled(now),
@@ -117,7 +117,7 @@
     pub fn to(state: &GatewayState, asked: &HoldingNote, now: ClockTime) -> Self {
         let holding = HoldingNote::of(state, now);
         let held = state.config();
-        let config = held.filter(|held| held.revision > asked.config);
+        let config = held.filter(|held| held.rank() > asked.config);
         let registry = state.registry.borrow();
         let lacks_targets = holding.targets > asked.targets;
         let targets = lacks_targets.then(|| match registry.changes_since(asked.targets) {
@@ -145,6 +145,9 @@
             is_settled,
             ..
         } = self.holding;
+        if self.targets.is_some() {
+            state.note_era(revision, source);
+        }
         let mut registry = state.registry.borrow_mut();
         let mut is_changed = match self.targets {
             Some(TargetNews::Changes(changes)) => registry.apply(changes, revision, is_settled),
--- a/crates/gateway/src/process/gateway_metrics.rs
+++ b/crates/gateway/src/process/gateway_metrics.rs
@@ -39,6 +39,8 @@
     pub in_flight: IntGauge,
     /// Version of the configuration in force.
     pub config_version: IntGauge,
+    /// Era of the store whose targets are held.
+    pub store_era: IntGauge,
     /// Registered targets.
     pub targets: IntGauge,
     /// Gateways that seem to live, this one included.
@@ -93,6 +95,11 @@
             peer_calls: counters(all, "peer_calls", "Calls to gateways", &["purpose", "end"])?,
             in_flight: gauge(all, "requests_in_flight", "Requests in progress")?,
             config_version: gauge(all, "config_version", "Version in force")?,
+            store_era: gauge(
+                all,
+                "store_era",
+                "Times that the store came back from a copy",
+            )?,
             targets: gauge(all, "targets", "Registered targets")?,
             members: gauge(all, "members", "Gateways that seem to live")?,
             ready: gauge(all, "ready", "Whether the node takes new connections")?,
--- a/crates/gateway/src/process/gateway_state.rs
+++ b/crates/gateway/src/process/gateway_state.rs
@@ -12,7 +12,7 @@
 use verbenahub_core::{
     clock::{ClockTime, TimeSpan},
     fleet::{FleetMember, FleetTable, GossipPace},
-    ids::{IncarnationNumber, PoolName},
+    ids::{IncarnationNumber, PoolName, StoreRevision},
     policy::retry::TrafficBudget,
     routes::{CallerPatience, RouteConfig, RouteSpec},
     settings::GatewayProfile,
@@ -171,8 +171,8 @@
 
     /// Takes a configuration into force if it is newer. Returns whether it is.
     pub fn adopt(&self, config: RouteConfig, source: &str) -> bool {
-        let held = self.config.borrow().as_ref().map(|held| held.revision);
-        if held.is_some_and(|held| held >= config.revision) {
+        let held = self.config.borrow().as_ref().map(|held| held.rank());
+        if held.is_some_and(|held| held >= config.rank()) {
             return false;
         }
         slog::info!(self.log, "config: Version in force.";
@@ -199,6 +199,22 @@
         self.changed.notify(usize::MAX);
     }
 
+    /// Takes note of what is about to replace the held targets: perhaps the
+    /// store has come back from a copy since they were read.
+    pub fn note_era(&self, listed: StoreRevision, source: &str) {
+        let held = self.registry.borrow().revision();
+        if listed.era <= held.era {
+            return;
+        }
+        let era = i64::try_from(listed.era.get()).unwrap_or(i64::MAX);
+        self.metrics.store_era.set(era);
+        if held != StoreRevision::ZERO {
+            slog::warn!(self.log, "store: Was restored from a copy.";
+                "held" => %held, "listed" => %listed, "source" => source.to_owned());
+            self.contact.borrow_mut().note_restore(self.now());
+        }
+    }
+
     /// Targets of a service that take work.
     #[must_use]
     pub fn ready_targets(&self, service: &PoolName) -> Vec<Arc<TargetRecord>> {
--- a/crates/gateway/src/store/feed_reader.rs
+++ b/crates/gateway/src/store/feed_reader.rs
@@ -3,7 +3,7 @@
 use smol::Timer;
 use verbenahub_core::{
     clock::TimeSpan,
-    ids::RevisionNumber,
+    ids::StoreRevision,
     targets::{RegistryChange, TargetRecord},
 };
 use verbenahub_platform::{
@@ -66,8 +66,8 @@
                 Err(error) => error,
             };
             self.count("failed");
-            if matches!(error, StoreError::HistoryGone) {
-                slog::info!(self.shared.log, "store: History is gone, listing again.");
+            if matches!(error, StoreError::HistoryGone | StoreError::Restored) {
+                slog::info!(self.shared.log, "store: Listing again."; "reason" => %error);
             } else {
                 self.note_failure(&error);
                 self.pause(&mut pause).await;
@@ -100,7 +100,7 @@
         }
     }
 
-    async fn list(&mut self) -> Result<RevisionNumber, StoreError> {
+    async fn list(&mut self) -> Result<StoreRevision, StoreError> {
         let mut items: Vec<StoreItem> = Vec::new();
         let mut revision = None;
         loop {
@@ -108,14 +108,18 @@
             let page = self.client.page(paths::ALL_KEYS, last.as_deref()).await?;
             self.note_answer();
             // Pages are not of one revision: what changed after the first one
-            // comes again with the watch.
-            revision.get_or_insert(page.revision);
+            // comes again with the watch. What changed by a restore does not.
+            let first = *revision.get_or_insert(page.revision);
+            if page.revision.era != first.era {
+                return Err(StoreError::Restored);
+            }
             items.extend(page.items);
             if !page.has_more {
                 break;
             }
         }
         let revision = revision.unwrap_or_default();
+        self.note_era(revision)?;
         for item in &items {
             self.take_config(item);
         }
@@ -129,7 +133,17 @@
         Ok(revision)
     }
 
-    fn take_events(&self, events: &[StoreEvent], revision: RevisionNumber) {
+    /// Compares the era of a listing with what is held, perhaps from others.
+    fn note_era(&self, listed: StoreRevision) -> Result<(), StoreError> {
+        let held = self.shared.registry.borrow().revision();
+        if listed.era < held.era {
+            return Err(StoreError::EraOver);
+        }
+        self.shared.note_era(listed, "store");
+        Ok(())
+    }
+
+    fn take_events(&self, events: &[StoreEvent], revision: StoreRevision) {
         let written = events.iter().filter_map(|event| match event {
             StoreEvent::Written(item) => Some(item),
             StoreEvent::Removed { .. } => None,
--- a/crates/gateway/src/store/store_client.rs
+++ b/crates/gateway/src/store/store_client.rs
@@ -1,12 +1,18 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use verbenahub_core::{clock::TimeSpan, ids::RevisionNumber};
-use verbenahub_platform::{StorePage, StoreUpdate, decode_page, decode_update, paths};
+use verbenahub_core::{
+    clock::TimeSpan,
+    ids::{EraNumber, StoreRevision},
+};
+use verbenahub_platform::{StorePage, StoreUpdate, decode_page, decode_update, headers, paths};
 
 use super::StoreError;
 use crate::{
-    http::{BodyFraming, BodyReader, HeaderList, HttpStream, RequestHead, response_framing},
+    http::{
+        BodyFraming, BodyReader, HeaderList, HttpStream, RequestHead, ResponseHead,
+        response_framing,
+    },
     targets::within,
 };
 
@@ -25,6 +31,8 @@
 pub struct StoreClient {
     address: SocketAddr,
     stream: Option<HttpStream>,
+    /// The last era that the store has told.
+    era: EraNumber,
 }
 
 impl StoreClient {
@@ -34,6 +42,7 @@
         Self {
             address,
             stream: None,
+            era: EraNumber::ZERO,
         }
     }
 
@@ -47,40 +56,54 @@
         prefix: &str,
         last: Option<&str>,
     ) -> Result<StorePage, StoreError> {
-        let body = self
-            .get(&paths::read_range(prefix, last), ANSWER_TIMEOUT)
-            .await?;
-        Ok(decode_page(&body)?)
+        let path = paths::read_range(prefix, last);
+        let (body, era) = self.get(&path, ANSWER_TIMEOUT).await?;
+        Ok(decode_page(&body, era)?)
     }
 
     /// Waits up to `wait` for changes under `prefix` after a revision.
     ///
     /// # Errors
     ///
-    /// Fails when the store doesn't answer, or has forgotten the changes.
+    /// Fails when the store doesn't answer, has forgotten the changes, or gives
+    /// those of another era.
     pub async fn watch(
         &mut self,
         prefix: &str,
-        after: RevisionNumber,
+        after: StoreRevision,
         wait: TimeSpan,
     ) -> Result<StoreUpdate, StoreError> {
-        let path = paths::watch(prefix, after.get(), wait.as_millis());
-        let body = self.get(&path, wait + ANSWER_TIMEOUT).await?;
-        Ok(decode_update(&body)?)
+        let path = paths::watch(prefix, after.number.get(), wait.as_millis());
+        let (body, era) = self.get(&path, wait + ANSWER_TIMEOUT).await?;
+        if era != after.era {
+            return Err(StoreError::Restored);
+        }
+        Ok(decode_update(&body, era)?)
     }
 
-    async fn get(&mut self, path: &str, timeout: TimeSpan) -> Result<Bytes, StoreError> {
+    async fn get(
+        &mut self,
+        path: &str,
+        timeout: TimeSpan,
+    ) -> Result<(Bytes, EraNumber), StoreError> {
         let mut stream = match self.stream.take() {
             Some(stream) if stream.is_quiet() => stream,
             _ => self.connect().await?,
         };
         let answer = within(timeout, exchange(&mut stream, self.address, path)).await;
-        let (status, body, keeps) = answer.ok_or(StoreError::Silent)??;
+        let (head, body, keeps) = answer.ok_or(StoreError::Silent)??;
+        let era = era_of(&head)?;
+        if era < self.era {
+            // Late, or the rest of an earlier answer: the connection is not
+            // to be trusted.
+            return Err(StoreError::EraOver);
+        }
+        self.era = era;
         if keeps {
             self.stream = Some(stream);
         }
-        match status {
-            200 => Ok(body),
+        match head.status {
+            200 => Ok((body, era)),
             GONE => Err(StoreError::HistoryGone),
             other => Err(StoreError::Status(other)),
         }
@@ -93,11 +116,21 @@
     }
 }
 
+/// The era that an answer tells. A store that tells none has never been
+/// restored.
+fn era_of(head: &ResponseHead) -> Result<EraNumber, StoreError> {
+    let Some(text) = head.headers.text(headers::STORE_ERA) else {
+        return Ok(EraNumber::ZERO);
+    };
+    let number = text.trim().parse().map(EraNumber::new);
+    number.map_err(|_| StoreError::Unreachable(format!("era `{text}` is no number")))
+}
+
 async fn exchange(
     stream: &mut HttpStream,
     address: SocketAddr,
     path: &str,
-) -> Result<(u16, Bytes, bool), StoreError> {
+) -> Result<(ResponseHead, Bytes, bool), StoreError> {
     let broken = |error: &dyn ToString| StoreError::Unreachable(error.to_string());
     let mut headers = HeaderList::default();
     headers.push("Host", address.to_string());
@@ -112,5 +145,5 @@
     let body = BodyReader::new(framing).collect(stream, ANSWER_BYTES).await;
     let body = body.map_err(|error| broken(&error))?;
     let keeps = !head.closes() && framing != BodyFraming::UntilClose;
-    Ok((head.status, body, keeps))
+    Ok((head, body, keeps))
 }
--- a/crates/gateway/src/store/store_error.rs
+++ b/crates/gateway/src/store/store_error.rs
@@ -16,6 +16,12 @@
     /// The changes that were asked for are no longer kept.
     #[error("history is gone")]
     HistoryGone,
+    /// The store has come back from a copy since the read began.
+    #[error("the store was restored")]
+    Restored,
+    /// The answer is from before the store came back from a copy.
+    #[error("answer of an era that is over")]
+    EraOver,
     /// The answer can't be read.
     #[error(transparent)]
     Wire(#[from] WireError),
--- /dev/null
+++ b/crates/gateway/tests/restored_store.rs
@@ -0,0 +1,208 @@
+//! A store that comes back from a copy some seconds old: revisions go back and
+//! are given out again.
+
+mod support;
+
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use support::{
+    CallerRequest, GatewayProcess, RawAnswer, any_port, config, register, register_as, route,
+    usual_routes, wait_for,
+};
+use verbenahub_platform_standin::{PlainTarget, RawCall, RawReply, RunLog, StoreServer};
+
+/// Longer than a removal may take to count after a restore.
+const RETURN_SPAN: Duration = Duration::from_secs(3);
+
+/// Gateways before a store and plain targets.
+struct RestoreFixture {
+    store: StoreServer,
+    log: RunLog,
+    targets: Vec<PlainTarget>,
+    gateways: Vec<GatewayProcess>,
+}
+
+impl RestoreFixture {
+    /// Starts targets named `t0` and so on, of which the store knows the first
+    /// `known`.
+    fn start(gateways: usize, targets: usize, known: usize) -> Self {
+        let store = StoreServer::start(any_port()).expect("a store");
+        store.put("op/config", &config(3, &usual_routes()));
+        let log = RunLog::default();
+        let answer = |call: &RawCall| {
+            let id = call.header("Attempt-Id").unwrap_or_default();
+            let headers = [("Attempt-Id", id), ("Response-Signature", "3e1b.07")];
+            RawReply::answer("200 OK", &headers, b"done")
+        };
+        let targets: Vec<PlainTarget> = (0..targets)
+            .map(|number| {
+                let id = format!("t{number}");
+                PlainTarget::start(any_port(), &id, &log, answer).expect("a target")
+            })
+            .collect();
+        for (number, target) in targets.iter().take(known).enumerate() {
+            let address = target.server().address();
+            register(&store, &format!("t{number}"), "desk", address);
+        }
+        let gateways = GatewayProcess::start_fleet(gateways, store.address());
+        for gateway in &gateways {
+            gateway.wait_line(|line| line["targets"] == known);
+        }
+        Self {
+            store,
+            log,
+            targets,
+            gateways,
+        }
+    }
+
+    fn ask(&self, gateway: usize, path: &str, id: &str) -> RawAnswer {
+        CallerRequest::new("GET", path, id).ask(self.gateways[gateway].front)
+    }
+
+    /// Targets that got some requests sent through each gateway.
+    fn used(&self, what: &str) -> Vec<String> {
+        let mut used = Vec::new();
+        for gateway in 0..self.gateways.len() {
+            for number in 0..12 {
+                let id = format!("{what}-{gateway}-{number}");
+                assert_eq!(self.ask(gateway, "/look/a", &id).status, 200, "{id}");
+                used.push(self.log.runs_of(&id)[0].target.clone());
+            }
+        }
+        used.sort();
+        used.dedup();
+        used
+    }
+
+    fn register(&self, number: usize) {
+        let address = self.targets[number].server().address();
+        register(&self.store, &format!("t{number}"), "desk", address);
+    }
+
+    fn wait_all<F>(&self, fits: F)
+    where
+        F: Fn(&Value) -> bool,
+    {
+        for gateway in &self.gateways {
+            gateway.wait_line(&fits);
+        }
+    }
+}
+
+fn is_restored(line: &Value) -> bool {
+    line["msg"] == "store: Was restored from a copy."
+}
+
+#[test]
+fn configuration_written_after_a_restore_is_in_force_at_a_lower_revision() {
+    let fixture = RestoreFixture::start(3, 1, 1);
+    let copy = fixture.store.copy();
+    // Lost: a version, and enough others that its revision is not reached again.
+    for number in 0..40 {
+        fixture.store.put("other/key", &json!(number));
+    }
+    let mut routes = usual_routes();
+    routes.push(route("added", "/added/", "idempotent", "desk", 2));
+    fixture.store.put("op/config", &config(5, &routes));
+    fixture.wait_all(|line| line["msg"] == "config: Version in force." && line["version"] == 5);
+    fixture.store.restore(copy);
+    fixture.wait_all(is_restored);
+    for gateway in 0..3 {
+        let answer = fixture.ask(gateway, "/added/a", &format!("kept-{gateway}"));
+        assert_eq!(answer.status, 200, "the last version stays in force");
+    }
+    routes.push(route("further", "/further/", "idempotent", "desk", 2));
+    fixture.store.put("op/config", &config(7, &routes));
+    fixture.wait_all(|line| line["msg"] == "config: Version in force." && line["version"] == 7);
+    for gateway in 0..3 {
+        let answer = fixture.ask(gateway, "/further/a", &format!("new-{gateway}"));
+        assert_eq!(answer.status, 200);
+    }
+}
+
+#[test]
+fn key_that_was_withdrawn_stays_withdrawn_when_the_copy_still_has_it() {
+    let fixture = RestoreFixture::start(3, 1, 1);
+    let copy = fixture.store.copy();
+    let mut without = config(5, &usual_routes());
+    without["Tenants"] = json!([{ "Name": "home", "ApiKeys": ["key-two"] }]);
+    fixture.store.put("op/config", &without);
+    fixture.wait_all(|line| line["msg"] == "config: Version in force." && line["version"] == 5);
+    fixture.store.restore(copy);
+    fixture.register(0);
+    fixture.wait_all(is_restored);
+    for gateway in 0..3 {
+        let answer = fixture.ask(gateway, "/look/a", &format!("r{gateway}"));
+        assert_eq!(answer.status, 401, "at gateway {gateway}");
+    }
+}
+
+#[test]
+fn target_that_left_in_the_lost_seconds_does_not_come_back_with_the_copy() {
+    let fixture = RestoreFixture::start(3, 3, 3);
+    let copy = fixture.store.copy();
+    let address = fixture.targets[1].server().address();
+    register_as(&fixture.store, "t1", "desk", address, "draining");
+    fixture.store.remove("servers/t0");
+    fixture.wait_all(|line| line["msg"] == "targets: Changed." && line["targets"] == 2);
+    wait_for("targets that leave to be left out", || {
+        fixture.used("before") == ["t2"]
+    });
+    fixture.store.restore(copy);
+    // The one that lives writes again.
+    fixture.register(2);
+    fixture.wait_all(is_restored);
+    assert_eq!(fixture.used("after"), ["t2"]);
+    std::thread::sleep(RETURN_SPAN);
+    assert_eq!(fixture.used("later"), ["t2"]);
+}
+
+#[test]
+fn target_that_registered_in_the_lost_seconds_serves_on_and_new_ones_are_found() {
+    let fixture = RestoreFixture::start(2, 3, 1);
+    let copy = fixture.store.copy();
+    fixture.register(1);
+    fixture.wait_all(|line| line["targets"] == 2);
+    fixture.store.restore(copy);
+    fixture.register(2);
+    fixture.wait_all(|line| line["targets"] == 3);
+    fixture.register(1);
+    fixture.register(0);
+    std::thread::sleep(RETURN_SPAN);
+    assert_eq!(fixture.used("after"), ["t0", "t1", "t2"]);
+}
+
+#[test]
+fn late_listing_of_the_store_of_before_is_not_believed() {
+    let fixture = RestoreFixture::start(1, 3, 1);
+    let copy = fixture.store.copy();
+    fixture.register(1);
+    fixture.wait_all(|line| line["targets"] == 2);
+    // Two answers of before, one after the watch has told of the new era.
+    fixture.store.restore_late(copy, 2);
+    fixture.register(2);
+    fixture.wait_all(|line| {
+        let revision = line["revision"].as_str().unwrap_or_default();
+        line["msg"] == "targets: Changed." && revision.starts_with("1:")
+    });
+    assert!(fixture.used("after").contains(&"t2".to_owned()));
+}
+
+#[test]
+fn two_restores_in_a_row_end_with_what_the_last_one_holds() {
+    let fixture = RestoreFixture::start(2, 2, 1);
+    let first = fixture.store.copy();
+    fixture.store.put("op/config", &config(5, &usual_routes()));
+    let second = fixture.store.copy();
+    fixture.store.restore(first);
+    fixture.store.restore(second);
+    fixture.register(1);
+    let mut routes = usual_routes();
+    routes.push(route("added", "/added/", "idempotent", "desk", 2));
+    fixture.store.put("op/config", &config(9, &routes));
+    fixture.wait_all(|line| line["msg"] == "config: Version in force." && line["version"] == 9);
+    fixture.wait_all(|line| line["targets"] == 2);
+    assert_eq!(fixture.used("after"), ["t0", "t1"]);
+}
