Tell callers that are turned away a time that can come

Cause: while no late set got a place in calls, the time to come back was divided by the least positive number: 229 of about 400 refusals of a burst were told the longest time there is. Change: the time in which all that waits is done, and at least as long as late sets have gone without a place.

--- a/crates/core/src/staging/queue_triage.rs
+++ b/crates/core/src/staging/queue_triage.rs
@@ -10,7 +10,10 @@
     queue_order::{LOWEST_RANK, urgency},
     stage_queue::count,
 };
-use crate::{clock::ClockTime, policy::numbers};
+use crate::{
+    clock::{ClockTime, TimeSpan},
+    policy::numbers,
+};
 
 /// Parts that the cost of a piece consists of at the highest rank. Each lower
 /// rank adds one: in a burst lower ranks are late a little more often.
@@ -82,6 +85,16 @@
         }
     }
 
+    /// When a caller that is turned away behind `late` pieces of late requests may
+    /// find a place: all that waits is done, and a shortage that has kept late
+    /// requests from any place has lasted as long again.
+    fn return_time(&self, late: usize, now: ClockTime) -> TimeSpan {
+        let on_time = self.sets.values().filter(|set| !set.is_late);
+        let on_time: usize = on_time.map(|set| set.waiting.len()).sum();
+        self.drain_time(on_time + late, now)
+            .max(self.late_pace.starved_for(now))
+    }
+
     /// Sets of late requests that won't be done in their time, at the pace at
     /// which late requests are served.
     pub(super) fn crowded(&mut self, now: ClockTime) -> Vec<(SetNumber, SetFailure)> {
@@ -111,7 +124,8 @@
             let wait = numbers::span(numbers::count(pieces) / pace + call_ms);
             let end = now + wait;
             if end > dead_at {
-                crowded.push((number, SetFailure::Crowded { retry_after: wait }));
+                let retry_after = self.return_time(pieces + waiting, now);
+                crowded.push((number, SetFailure::Crowded { retry_after }));
             } else {
                 pieces += waiting;
             }
--- a/crates/core/tests/stage_queue.rs
+++ b/crates/core/tests/stage_queue.rs
@@ -489,6 +489,28 @@
     );
 }
 
+#[test]
+fn caller_that_is_turned_away_is_told_a_time_that_can_come() {
+    let mut queue = queue(SERVICE, 1);
+    let mut longest = TimeSpan::ZERO;
+    let mut turned_away = 0;
+    // Four times what one target serves, for three seconds.
+    for millis in (0..3_000).step_by(10) {
+        let now = at(millis);
+        // One that can't be placed is told so at once.
+        let _ = queue.offer(set(now, 900, 8_000), now);
+        for end in queue.take_late(now) {
+            if let Err(SetFailure::Crowded { retry_after }) = end.outcome {
+                longest = longest.max(retry_after);
+                turned_away += 1;
+            }
+        }
+        let _ = queue.plan(now);
+    }
+    assert!(turned_away > 50, "{turned_away}");
+    assert!(longest <= TimeSpan::from_secs(8), "{longest}");
+}
+
 #[test]
 fn failed_call_is_repeated_elsewhere_and_not_without_end() {
     let mut queue = queue(SERVICE, 3);
