Wait for the own zone as long as its targets need, and log the room that calls leave

Cause: a set waited a full call for its zone, whether that has one target or five, and also where it has none. Deployments with several targets in a zone gain nothing from it. Change: patience by the number of targets of the zone that the queue calls: a full call for one or two, half a call from four on, none without one. The line of a call's end tells what waited on and the room left at its target.

--- a/crates/core/src/staging/queue_order.rs
+++ b/crates/core/src/staging/queue_order.rs
@@ -10,9 +10,12 @@
     policy::numbers,
 };
 
-/// Full calls for whose time a set waits for a target in the zone of its
-/// results. A zone that has one target is free again within that.
-const HOME_PATIENCE: f64 = 1.0;
+/// Targets of a zone of which one is free again within half a call, though other
+/// sets wait for them as well.
+const SPARE_TARGETS: f64 = 4.0;
+/// Part of a full call's time for which a set waits at least for a target in
+/// the zone of its results, if there is one.
+const LEAST_PATIENCE: f64 = 0.5;
 /// By how much a set of the next lower rank counts as less urgent. A third of
 /// a call: ranks decide between sets that are due at about the same time.
 const PRIORITY_STEP: TimeSpan = TimeSpan::from_millis(100);
@@ -27,9 +30,21 @@
     /// Whether a set may go to a zone: its own, or any if it has waited for
     /// long.
     pub(super) fn may_go(&self, set: &QueuedSet, zone: &ZoneName, now: ClockTime) -> bool {
-        let patience = self.service.call_time(self.service.batch) * HOME_PATIENCE;
-        let is_home = set.set.home.as_ref().is_none_or(|home| home == zone);
-        is_home || now.since(set.arrived_at) >= numbers::span(patience)
+        let Some(home) = set.set.home.as_ref().filter(|home| *home != zone) else {
+            return true;
+        };
+        now.since(set.arrived_at) >= self.home_patience(home)
+    }
+
+    /// How long a set waits for a target in its zone: until one of those that
+    /// are there is probably free again, a full call at most.
+    fn home_patience(&self, home: &ZoneName) -> TimeSpan {
+        let Some(targets) = self.zone_targets.get(home) else {
+            return TimeSpan::ZERO;
+        };
+        let call_ms = self.service.call_time(self.service.batch);
+        let share = LEAST_PATIENCE * SPARE_TARGETS / numbers::count(*targets).max(1.0);
+        numbers::span(call_ms * share.clamp(LEAST_PATIENCE, 1.0))
     }
 
     /// The free target that a set should go to: in its zone if there is one,
--- a/crates/core/src/staging/stage_call.rs
+++ b/crates/core/src/staging/stage_call.rs
@@ -1,5 +1,5 @@
 use super::SetNumber;
-use crate::{clock::TimeSpan, ids::TargetId};
+use crate::{clock::TimeSpan, ids::TargetId, units::ByteSize};
 
 /// Identifies a call at its queue.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -29,4 +29,8 @@
     pub pieces: Vec<CallPiece>,
     /// When to give the call up.
     pub timeout: TimeSpan,
+    /// Room for results that is left at the target beside the call's own.
+    pub room_left: ByteSize,
+    /// Pieces that wait on.
+    pub waiting: usize,
 }
--- a/crates/core/src/staging/stage_queue.rs
+++ b/crates/core/src/staging/stage_queue.rs
@@ -10,6 +10,7 @@
     ids::{PoolName, TargetId, ZoneName},
     policy::numbers,
     routes::StageService,
+    units::ByteSize,
 };
 
 /// Multiple of a call's expected time after which it is given up.
@@ -47,6 +48,8 @@
 pub struct StageQueue {
     pub(super) service: StageService,
     pub(super) targets: BTreeMap<TargetId, QueueTarget>,
+    /// Targets that the queue may call, by zone.
+    pub(super) zone_targets: BTreeMap<ZoneName, usize>,
     pub(super) sets: BTreeMap<SetNumber, QueuedSet>,
     pub(super) calls: BTreeMap<CallNumber, RunningCall>,
     pub(super) held: HeldResults,
@@ -67,6 +70,7 @@
         Self {
             service,
             targets: BTreeMap::new(),
+            zone_targets: BTreeMap::new(),
             sets: BTreeMap::new(),
             calls: BTreeMap::new(),
             held: HeldResults::default(),
@@ -93,7 +97,9 @@
         for target in self.targets.values_mut() {
             target.listed = false;
         }
+        self.zone_targets.clear();
         for (id, zone, slots) in targets {
+            *self.zone_targets.entry(zone.clone()).or_default() += 1;
             let target = self
                 .targets
                 .entry(id)
@@ -254,6 +260,7 @@
         let state = self.targets.get_mut(&target)?;
         state.running += 1;
         let pace = state.pace.max(1.0);
+        let room_left = self.service.room.as_bytes().saturating_sub(state.taken);
         self.calls.insert(
             number,
             RunningCall {
@@ -266,6 +273,8 @@
         Some(StageCall {
             number,
             target,
+            room_left: ByteSize::from_bytes(room_left),
+            waiting: waiting.saturating_sub(pieces.len()),
             pieces,
             timeout: numbers::span(expected_ms * pace.min(2.0) * TIMEOUT_FACTOR + TIMEOUT_SLACK_MS),
         })
--- a/crates/gateway/src/staging/stage_call_run.rs
+++ b/crates/gateway/src/staging/stage_call_run.rs
@@ -56,7 +56,8 @@
             .inc();
         slog::info!(shared.log, "stage: Call ended.";
             "service" => service, "call" => self.call.number.0, "target" => %self.call.target,
-            "pieces" => pieces, "end" => label, "took" => %shared.now().since(begun));
+            "pieces" => pieces, "waiting_pieces" => self.call.waiting,
+            "room_left" => %self.call.room_left, "end" => label, "took" => %shared.now().since(begun));
         self.queue.finish(shared, self.call.number, end);
     }
 
