Let one node choose among up to 256 engines

Ruled out: choosers that are behind (no line of one that did not answer was looked for; the calls of a chooser take a tenth of a core). Change: one chooser for 256 engines; the owned engines are looked up in a set. Below 65 engines nothing changes. Test: engines_that_come_and_go_... fails with 64.

--- a/crates/core/src/staging/shard_map.rs
+++ b/crates/core/src/staging/shard_map.rs
@@ -26,8 +26,9 @@
     /// work for more targets than this takes a quarter of the largest VMs.
     pub const STAGE_TARGETS: usize = 16;
     /// Engines that one node chooses among, on average. The more, the better its
-    /// choices; a choice costs a tenth of what collecting for a request does.
-    pub const ENGINES: usize = 64;
+    /// choices; those for as many take a tenth of a core. Where one engine more or
+    /// less changes the number of nodes, all books begin anew.
+    pub const ENGINES: usize = 256;
 
     /// Names the owners of the targets of a service among `members`, each with
     /// its weight, one for each `share` targets.
--- a/crates/core/tests/gateway_fleet.rs
+++ b/crates/core/tests/gateway_fleet.rs
@@ -414,3 +414,18 @@
     table.merge(vec![member(1, 15, 0.25)], at(10_100));
     assert!(table.knows_established());
 }
+
+#[test]
+fn engines_that_come_and_go_do_not_change_the_node_that_chooses_among_them() {
+    let service = PoolName::new("pool").expect("a name");
+    let members = members(295);
+    let chooser = |engines: usize| {
+        let map = ShardMap::new(&service, &targets(engines), &members, ShardMap::ENGINES);
+        map.owners().to_vec()
+    };
+    let usual = chooser(130);
+    assert_eq!(usual.len(), 1);
+    for engines in 60..=200 {
+        assert_eq!(chooser(engines), usual, "{engines} engines");
+    }
+}
--- a/crates/gateway/src/engines/engine_desk.rs
+++ b/crates/gateway/src/engines/engine_desk.rs
@@ -1,4 +1,7 @@
-use std::{cell::RefCell, collections::HashMap};
+use std::{
+    cell::RefCell,
+    collections::{BTreeSet, HashMap},
+};
 
 use serde::{Deserialize, Serialize};
 use verbenahub_core::{
@@ -37,10 +40,15 @@
         let now = shared.now();
         let mut candidates = shared.ready_targets(&ask.service);
         let shards = shared.stages.shards(shared, &ask.service);
-        let owned = shards.targets_of(&shared.profile.node);
-        // A node that is asked by one which sees another fleet uses all.
-        if !owned.is_empty() {
-            candidates.retain(|record| owned.contains(&record.id));
+        if shards.len() > 1 {
+            let owned: BTreeSet<TargetId> = shards
+                .targets_of(&shared.profile.node)
+                .into_iter()
+                .collect();
+            // A node that is asked by one which sees another fleet uses all.
+            if !owned.is_empty() {
+                candidates.retain(|record| owned.contains(&record.id));
+            }
         }
         let mut books = self.books.borrow_mut();
         let book = books
