Tell callers that are turned away to come back after three seconds where there is no pace

Change: the former estimate, bounded at 3 s instead of by nothing, which is what callers were told before the change.

--- a/crates/core/src/staging/late_pace.rs
+++ b/crates/core/src/staging/late_pace.rs
@@ -41,16 +41,12 @@
         self.starved_since = waiting.then(|| self.starved_since.unwrap_or(now));
     }
 
-    /// How long late requests have waited without a place.
-    pub(super) fn starved_for(&self, now: ClockTime) -> TimeSpan {
-        self.starved_since
-            .map_or(TimeSpan::ZERO, |since| now.since(since))
-    }
-
     /// Part of their usual share of places that late requests can be counted
     /// on to get: less and less while they wait and get none.
     pub(super) fn trust(&self, now: ClockTime) -> f64 {
-        let starved = self.starved_for(now);
+        let starved = self
+            .starved_since
+            .map_or(TimeSpan::ZERO, |since| now.since(since));
         1.0 - numbers::millis(starved.min(STARVED_SPAN)) / numbers::millis(STARVED_SPAN)
     }
 
--- a/crates/core/src/staging/queue_triage.rs
+++ b/crates/core/src/staging/queue_triage.rs
@@ -22,6 +22,10 @@
 /// they have got less of late. Bursts are shorter than the deadlines.
 const LATE_SHARE: f64 = 0.1;
 
+/// Longest time after which a late request is expected to find a place. While
+/// none gets any there is no pace to tell a time by, and bursts last seconds.
+const LONGEST_RETURN: TimeSpan = TimeSpan::from_secs(3);
+
 impl StageQueue {
     /// When the pieces of a set are done at the earliest: in a call of their
     /// own that starts now.
@@ -85,16 +89,6 @@
         }
     }
 
-    /// When a caller that is turned away behind `late` pieces of late requests may
-    /// find a place: all that waits is done, and a shortage that has kept late
-    /// requests from any place has lasted as long again.
-    fn return_time(&self, late: usize, now: ClockTime) -> TimeSpan {
-        let on_time = self.sets.values().filter(|set| !set.is_late);
-        let on_time: usize = on_time.map(|set| set.waiting.len()).sum();
-        self.drain_time(on_time + late, now)
-            .max(self.late_pace.starved_for(now))
-    }
-
     /// Sets of late requests that won't be done in their time, at the pace at
     /// which late requests are served.
     pub(super) fn crowded(&mut self, now: ClockTime) -> Vec<(SetNumber, SetFailure)> {
@@ -124,7 +118,7 @@
             let wait = numbers::span(numbers::count(pieces) / pace + call_ms);
             let end = now + wait;
             if end > dead_at {
-                let retry_after = self.return_time(pieces + waiting, now);
+                let retry_after = wait.min(LONGEST_RETURN);
                 crowded.push((number, SetFailure::Crowded { retry_after }));
             } else {
                 pieces += waiting;
