Count the streams of engines, and try those that can't be reached one request at a time

Change: a request counts until its stream ends; an engine that refuses a connection or says that it is another one is left out at once, then tried by one request; those are left out though they are most of all.

--- a/crates/core/src/engines/engine_book.rs
+++ b/crates/core/src/engines/engine_book.rs
@@ -1,21 +1,24 @@
 use std::{
-    collections::{BTreeMap, HashMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, HashMap},
     sync::Arc,
 };
 
-use super::{EngineAsk, PromptEnd, engine_memory::EngineMemory};
+use super::{EngineAsk, PromptStep, engine_memory::EngineMemory};
 use crate::{
     clock::{ClockTime, TimeSpan},
     cluster::rendezvous,
     ids::TargetId,
     policy::health::{CallOutcome, HealthRule, TargetHealth},
-    targets::TargetRecord,
+    targets::{HEALTH_RULE as NODE_RULE, TargetRecord},
     units::TokenCount,
 };
 
-/// Time after which a prompt counts as read if no word of it has come. Callers
+/// Time after which a request is forgotten if nothing was told of it. Callers
 /// leave streams that have not begun by then.
 const LONGEST_WAIT: TimeSpan = TimeSpan::from_secs(6);
+/// Time after which a stream is forgotten whose end was not told. The longest
+/// deadlines of callers.
+const LONGEST_STREAM: TimeSpan = TimeSpan::from_secs(15);
 /// How much reading shared parts again counts beside the time of the request
 /// itself: it also delays what comes to the engine after it.
 const REREAD_WEIGHT: u64 = 2;
@@ -25,12 +28,7 @@
 /// failures in a row are enough.
 const HEALTH_RULE: HealthRule = HealthRule {
     failure_limit: 2,
-    slow_factor: 3.0,
-    slow_samples: 10,
-    first_ejection: TimeSpan::from_millis(700),
-    longest_ejection: TimeSpan::from_millis(3_000),
-    ejected_share: 0.5,
-    slow_start: TimeSpan::from_millis(1_000),
+    ..NODE_RULE
 };
 
 /// One engine of a book.
@@ -41,15 +39,36 @@
     memory: EngineMemory,
     /// Tokens of prompts that it has to read.
     pending: u64,
+    /// Requests that wait or run there.
+    requests: u32,
     health: TargetHealth,
+    /// Whether it was left out and has read nothing since.
+    is_doubted: bool,
+    /// The one request that it was given since.
+    trial: Option<String>,
+    /// Whether that was since it could not be reached.
+    is_gone: bool,
 }
 
-/// A prompt that an engine was chosen for and has not read yet.
+impl EngineState {
+    /// Whether it gets no requests: for a while, then but one until that is
+    /// read. Engines that fail at once have nothing to read and would draw all
+    /// prompts that they held.
+    fn is_left_out(&self, now: ClockTime) -> bool {
+        self.health.is_ejected(now) || (self.is_doubted && self.trial.is_some())
+    }
+}
+
+/// A request that an engine was chosen for.
 #[derive(Clone, Debug)]
-struct PendingPrompt {
+struct PlacedRequest {
     engine: TargetId,
+    /// Run of the engine, if it tells.
+    started_at: Option<u64>,
+    /// Tokens that the engine has yet to read.
     tokens: u64,
-    since: ClockTime,
+    /// When it is forgotten.
+    forgotten_at: ClockTime,
 }
 
 /// Chooses engines for the prompts of all nodes.
@@ -60,13 +79,16 @@
 /// burst that wait is longer than all else, and the results that those
 /// requests read take room all the while. One node that keeps book of what
 /// each engine has to read, and of what it holds already, sends each prompt
-/// where it is read soonest, and seldom to a second engine.
+/// where it is read soonest, and seldom to a second engine. An engine whose
+/// slots are taken lets requests wait for the end of a stream, so it gets no
+/// more while others have slots.
 #[derive(Debug)]
 pub struct EngineBook {
     memory: TokenCount,
     engines: BTreeMap<TargetId, EngineState>,
-    pending: HashMap<String, PendingPrompt>,
-    oldest: VecDeque<(ClockTime, String)>,
+    requests: HashMap<String, PlacedRequest>,
+    /// Requests in the order in which they are forgotten.
+    forgotten: BTreeSet<(ClockTime, String)>,
 }
 
 impl EngineBook {
@@ -76,8 +98,8 @@
         Self {
             memory,
             engines: BTreeMap::new(),
-            pending: HashMap::new(),
-            oldest: VecDeque::new(),
+            requests: HashMap::new(),
+            forgotten: BTreeSet::new(),
         }
     }
 
@@ -86,8 +108,8 @@
         self.memory = memory;
     }
 
-    /// Chooses the engine that reads a prompt, and counts it as pending there
-    /// until [`Self::end`]. Returns nothing if no engine may get it.
+    /// Chooses the engine for a request, and counts it there until
+    /// [`Self::note`] tells its end. Returns nothing if no engine may get it.
     pub fn choose(
         &mut self,
         ask: &EngineAsk,
@@ -95,42 +117,65 @@
         now: ClockTime,
     ) -> Option<TargetId> {
         self.take_in(candidates);
-        self.expire(now);
-        self.drop_pending(&ask.request);
+        self.forget(now);
+        self.remove(&ask.request);
         let chosen = self.best(ask, candidates, now)?;
         let state = self.engines.get_mut(&chosen)?;
         let tokens = state.memory.read(&ask.shared, ask.own, self.memory).get();
         state.pending += tokens;
-        self.oldest.push_back((now, ask.request.clone()));
-        self.pending.insert(
+        state.requests += 1;
+        if state.is_doubted {
+            state.trial.get_or_insert_with(|| ask.request.clone());
+        }
+        let forgotten_at = now + LONGEST_WAIT;
+        self.forgotten.insert((forgotten_at, ask.request.clone()));
+        self.requests.insert(
             ask.request.clone(),
-            PendingPrompt {
+            PlacedRequest {
                 engine: chosen.clone(),
+                started_at: state.started_at,
                 tokens,
-                since: now,
+                forgotten_at,
             },
         );
         Some(chosen)
     }
 
-    /// Takes note of how an engine's work on a prompt has ended.
-    pub fn end(&mut self, request: &str, end: PromptEnd, now: ClockTime) {
-        let Some(engine) = self.drop_pending(request) else {
-            return;
+    /// Takes note of how far an engine has come with a request.
+    pub fn note(&mut self, request: &str, step: PromptStep, now: ClockTime) {
+        let engine = match step {
+            PromptStep::Read => self.note_read(request, now),
+            PromptStep::Ended | PromptStep::Failed | PromptStep::Gone => self.remove(request),
         };
-        let Some(state) = self.engines.get(&engine) else {
+        let Some(state) = engine.and_then(|engine| self.engines.get_mut(&engine)) else {
             return;
         };
-        let outcome = match end {
-            PromptEnd::Read => CallOutcome::Answered,
-            PromptEnd::Failed => CallOutcome::Failed,
-            PromptEnd::Dropped => return,
+        let is_out = match step {
+            PromptStep::Read => {
+                state.is_doubted = false;
+                state.is_gone = false;
+                state.trial = None;
+                state.health.observe(CallOutcome::Answered, &HEALTH_RULE)
+            }
+            PromptStep::Ended => false,
+            PromptStep::Failed => state.health.observe(CallOutcome::Failed, &HEALTH_RULE),
+            PromptStep::Gone => {
+                state.is_gone = true;
+                !state.health.is_ejected(now)
+            }
         };
-        if state.health.observe(outcome, &HEALTH_RULE) {
+        if is_out {
             state.health.eject(&HEALTH_RULE, now);
+            state.is_doubted = true;
         }
     }
 
+    /// The engine that a request was given, until its end is known.
+    #[must_use]
+    pub fn engine_of(&self, request: &str) -> Option<&TargetId> {
+        self.requests.get(request).map(|placed| &placed.engine)
+    }
+
     /// Tokens that an engine has to read.
     #[must_use]
     pub fn pending(&self, engine: &TargetId) -> TokenCount {
@@ -138,27 +183,43 @@
         TokenCount::new(state.map_or(0, |state| state.pending))
     }
 
-    fn best(
+    /// The engines that may get a request. Those that can't be reached get none
+    /// while there are others, however many they are; of the rest no more than
+    /// a part is left out.
+    fn usable<'a>(
         &self,
         ask: &EngineAsk,
-        candidates: &[Arc<TargetRecord>],
+        candidates: &'a [Arc<TargetRecord>],
         now: ClockTime,
-    ) -> Option<TargetId> {
+    ) -> Vec<&'a Arc<TargetRecord>> {
+        let state = |record: &Arc<TargetRecord>| self.engines.get(&record.id);
+        let is_left_out =
+            |record: &&Arc<TargetRecord>| state(record).is_some_and(|state| state.is_left_out(now));
+        let is_gone = |record: &&Arc<TargetRecord>| {
+            is_left_out(record) && state(record).is_some_and(|state| state.is_gone)
+        };
         let allowed = candidates.iter();
         let allowed: Vec<_> = allowed
             .filter(|record| !ask.avoid.contains(&record.id))
             .collect();
-        let is_ejected = |record: &&Arc<TargetRecord>| {
-            let state = self.engines.get(&record.id);
-            state.is_some_and(|state| state.health.is_ejected(now))
-        };
-        let (ejected, healthy): (Vec<_>, Vec<_>) = allowed.iter().copied().partition(is_ejected);
-        let is_sparing = ejected.len() <= HEALTH_RULE.ejected_limit(allowed.len());
-        let pool = if is_sparing && !healthy.is_empty() {
-            healthy
-        } else {
-            allowed
-        };
+        let (gone, there): (Vec<_>, Vec<_>) = allowed.into_iter().partition(is_gone);
+        if there.is_empty() {
+            return gone;
+        }
+        let (left_out, healthy): (Vec<_>, Vec<_>) = there.iter().copied().partition(is_left_out);
+        if healthy.is_empty() || left_out.len() > HEALTH_RULE.ejected_limit(there.len()) {
+            return there;
+        }
+        healthy
+    }
+
+    fn best(
+        &self,
+        ask: &EngineAsk,
+        candidates: &[Arc<TargetRecord>],
+        now: ClockTime,
+    ) -> Option<TargetId> {
+        let pool = self.usable(ask, candidates, now);
         let missing: Vec<u64> = pool
             .iter()
             .map(|record| {
@@ -187,10 +248,11 @@
             let away = if is_away { AWAY_TOKENS } else { 0 };
             let is_first = is_unknown && **rank == first;
             let again = if is_first { 0 } else { **missing };
-            let pending = self.engines[&record.id].pending;
-            let cost = pending + **missing + again * REREAD_WEIGHT + away;
+            let state = &self.engines[&record.id];
+            let is_full = state.requests >= record.slots;
+            let cost = state.pending + **missing + again * REREAD_WEIGHT + away;
             // Engines that look alike are taken in one order for a prompt.
-            (cost, !**rank)
+            (is_full, cost, !**rank)
         })?;
         Some(best.0.id.clone())
     }
@@ -216,27 +278,52 @@
             self.engines.insert(record.id.clone(), state);
         }
         let engines = &self.engines;
-        self.pending
-            .retain(|_, prompt| engines.contains_key(&prompt.engine));
+        self.requests.retain(|request, placed| {
+            let state = engines.get(&placed.engine);
+            let is_there = state.is_some_and(|state| state.started_at == placed.started_at);
+            if !is_there {
+                self.forgotten
+                    .remove(&(placed.forgotten_at, request.clone()));
+            }
+            is_there
+        });
     }
 
-    fn expire(&mut self, now: ClockTime) {
-        while let Some((since, request)) = self
-            .oldest
-            .pop_front_if(|(since, _)| now.since(*since) > LONGEST_WAIT)
+    /// Removes the requests of which nothing was told for too long.
+    fn forget(&mut self, now: ClockTime) {
+        while let Some((at, request)) = self.forgotten.first().cloned()
+            && at <= now
         {
-            let is_same = |prompt: &PendingPrompt| prompt.since == since;
-            if self.pending.get(&request).is_some_and(is_same) {
-                self.drop_pending(&request);
-            }
+            self.remove(&request);
+        }
+    }
+
+    /// Notes that an engine has read a prompt. Returns the engine.
+    fn note_read(&mut self, request: &str, now: ClockTime) -> Option<TargetId> {
+        let placed = self.requests.get_mut(request)?;
+        let tokens = std::mem::take(&mut placed.tokens);
+        self.forgotten
+            .remove(&(placed.forgotten_at, request.to_owned()));
+        placed.forgotten_at = now + LONGEST_STREAM;
+        self.forgotten
+            .insert((placed.forgotten_at, request.to_owned()));
+        let engine = placed.engine.clone();
+        if let Some(state) = self.engines.get_mut(&engine) {
+            state.pending = state.pending.saturating_sub(tokens);
         }
+        Some(engine)
     }
 
-    fn drop_pending(&mut self, request: &str) -> Option<TargetId> {
-        let prompt = self.pending.remove(request)?;
-        if let Some(state) = self.engines.get_mut(&prompt.engine) {
-            state.pending = state.pending.saturating_sub(prompt.tokens);
+    /// Removes a request. Returns its engine.
+    fn remove(&mut self, request: &str) -> Option<TargetId> {
+        let placed = self.requests.remove(request)?;
+        self.forgotten
+            .remove(&(placed.forgotten_at, request.to_owned()));
+        if let Some(state) = self.engines.get_mut(&placed.engine) {
+            state.pending = state.pending.saturating_sub(placed.tokens);
+            state.requests = state.requests.saturating_sub(1);
+            state.trial.take_if(|trial| trial == request);
         }
-        Some(prompt.engine)
+        Some(placed.engine)
     }
 }
--- a/crates/core/src/engines/mod.rs
+++ b/crates/core/src/engines/mod.rs
@@ -3,9 +3,10 @@
 mod engine_ask;
 mod engine_book;
 mod engine_memory;
-mod prompt_end;
 mod prompt_part;
+mod prompt_step;
 
 pub use self::{
-    engine_ask::EngineAsk, engine_book::EngineBook, prompt_end::PromptEnd, prompt_part::PromptPart,
+    engine_ask::EngineAsk, engine_book::EngineBook, prompt_part::PromptPart,
+    prompt_step::PromptStep,
 };
--- a/crates/core/src/engines/prompt_step.rs
+++ b/crates/core/src/engines/prompt_step.rs
@@ -1,12 +1,14 @@
 use serde::{Deserialize, Serialize};
 
-/// How an engine's work on a prompt ended.
+/// How far an engine has come with a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum PromptEnd {
-    /// The engine has read it: the first event is there.
+pub enum PromptStep {
+    /// It has read the prompt: the first event is there.
     Read,
-    /// The engine failed or can't be reached.
+    /// The request is over, or the engine has turned it away.
+    Ended,
+    /// The engine failed.
     Failed,
-    /// The request was given up or turned away.
-    Dropped,
+    /// Nothing listens at the engine's address, or another one does.
+    Gone,
 }
--- a/crates/core/src/targets/mod.rs
+++ b/crates/core/src/targets/mod.rs
@@ -20,3 +20,5 @@
     target_loads::TargetLoads, target_record::TargetRecord, target_registry::TargetRegistry,
     target_state::TargetState, turn_away::TurnAway,
 };
+
+pub(crate) use self::target_loads::HEALTH_RULE;
--- a/crates/core/src/targets/target_loads.rs
+++ b/crates/core/src/targets/target_loads.rs
@@ -33,7 +33,7 @@
 const SOUND_PENALTY: f64 = 2.0;
 /// When targets are left out: three failures in a row, for a second at first.
 /// Faults of a few seconds are usual, so the longest pause is short as well.
-const HEALTH_RULE: HealthRule = HealthRule {
+pub(crate) const HEALTH_RULE: HealthRule = HealthRule {
     failure_limit: 3,
     slow_factor: 3.0,
     slow_samples: 10,
--- a/crates/core/tests/engine_book.rs
+++ b/crates/core/tests/engine_book.rs
@@ -6,7 +6,7 @@
 use fastrand::Rng;
 use verbenahub_core::{
     clock::{ClockTime, TimeSpan},
-    engines::{EngineAsk, EngineBook, PromptEnd, PromptPart},
+    engines::{EngineAsk, EngineBook, PromptPart, PromptStep},
     ids::{EraNumber, PoolName, StoreRevision, TargetId, ZoneName},
     policy::health::CallOutcome,
     targets::{ChoiceAsk, TargetLoads, TargetRecord, TargetState},
@@ -102,7 +102,7 @@
                 Chooser::Nodes(nodes) => {
                     nodes[*node].end(&records[*engine].id, CallOutcome::Answered, clock);
                 }
-                Chooser::Book(book) => book.end(request, PromptEnd::Read, clock),
+                Chooser::Book(book) => book.note(request, PromptStep::Read, clock),
             }
             false
         });
@@ -181,7 +181,7 @@
     let records = engines(ENGINES);
     let mut book = EngineBook::new(MEMORY);
     let first = book.choose(&ask("r1", "p", 10_000, 100), &records, at(0));
-    book.end("r1", PromptEnd::Read, at(100));
+    book.note("r1", PromptStep::Read, at(100));
     for number in 2..6 {
         let request = format!("r{number}");
         let chosen = book.choose(&ask(&request, "p", 10_000, 100), &records, at(200));
@@ -219,7 +219,7 @@
     let pending_of = |book: &mut EngineBook, request: &str, prompt: &str| {
         book.choose(&ask(request, prompt, 10_000, 1_000), &records, at(0));
         let pending = book.pending(&id).get();
-        book.end(request, PromptEnd::Read, at(0));
+        book.note(request, PromptStep::Read, at(0));
         pending
     };
     assert_eq!(pending_of(&mut book, "r1", "p"), 11_000);
@@ -235,10 +235,10 @@
     let records = engines(ENGINES);
     let mut book = EngineBook::new(MEMORY);
     let first = book.choose(&ask("r1", "p", 10_000, 100), &records, at(0));
-    book.end("r1", PromptEnd::Failed, at(0));
+    book.note("r1", PromptStep::Failed, at(0));
     let again = book.choose(&ask("r2", "p", 10_000, 100), &records, at(0));
     assert_eq!(again, first, "one failure may be the request's");
-    book.end("r2", PromptEnd::Failed, at(0));
+    book.note("r2", PromptStep::Failed, at(0));
     let other = book.choose(&ask("r3", "p", 10_000, 100), &records, at(10));
     assert_ne!(other, first);
     let back = book.choose(&ask("r4", "q", 10_000, 100), &records[..1], at(10));
@@ -281,6 +281,140 @@
     book.choose(&ask("r2", "p", 10_000, 100), &records, later);
     assert_eq!(book.pending(&records[0].id).get(), 100);
     // Told after all, it changes nothing.
-    book.end("r1", PromptEnd::Read, later);
+    book.note("r1", PromptStep::Read, later);
     assert_eq!(book.pending(&records[0].id).get(), 100);
 }
+
+#[test]
+fn engine_whose_slots_are_taken_gets_no_more_while_others_have_some() {
+    let slots = 16;
+    let records: Vec<_> = engines(3)
+        .iter()
+        .map(|record| {
+            let record = TargetRecord {
+                slots,
+                ..TargetRecord::clone(record)
+            };
+            Arc::new(record)
+        })
+        .collect();
+    let mut book = EngineBook::new(MEMORY);
+    let mut place = |number: u32, now: u64| {
+        let request = format!("r{number}");
+        let chosen = book.choose(&ask(&request, "p", 10_000, 100), &records, at(now));
+        book.note(&request, PromptStep::Read, at(now));
+        (chosen.expect("an engine"), request)
+    };
+    // Streams that have begun and last hold their slots.
+    let (holder, first) = place(0, 0);
+    for number in 1..slots {
+        assert_eq!(place(number, 10).0, holder);
+    }
+    let (other, _) = place(slots, 20);
+    assert_ne!(other, holder);
+    for number in 1..2 * slots {
+        place(100 + number, 30);
+    }
+    book.note(&first, PromptStep::Ended, at(40));
+    let chosen = book.choose(&ask("last", "p", 10_000, 100), &records, at(40));
+    assert_eq!(chosen, Some(holder), "a slot is free again");
+}
+
+#[test]
+fn engine_that_is_gone_is_tried_by_one_request_at_a_time() {
+    let records = engines(ENGINES);
+    let mut book = EngineBook::new(MEMORY);
+    let wanted = |number: u64| ask(&format!("r{number}"), "p", 10_000, 100);
+    let first = book.choose(&wanted(0), &records, at(0)).expect("one");
+    book.note("r0", PromptStep::Gone, at(0));
+    // It crashes and stays away for ten seconds, in which a request comes every
+    // 20 ms. What it refuses is known a moment later.
+    let mut refused = 0;
+    for number in 1..500 {
+        let now = at(number * 20);
+        let chosen = book.choose(&wanted(number), &records, now).expect("one");
+        if chosen == first {
+            refused += 1;
+        }
+        if let Some(earlier) = number.checked_sub(5) {
+            let request = format!("r{earlier}");
+            // Those at other engines are read by then.
+            let step = if book.engine_of(&request) == Some(&first) {
+                PromptStep::Gone
+            } else {
+                PromptStep::Read
+            };
+            book.note(&request, step, now);
+        }
+    }
+    assert!((1..=8).contains(&refused), "{refused} tries in ten seconds");
+    // It is back and reads a prompt.
+    let mut now = 20_000;
+    while book.choose(&wanted(now), &records, at(now)) != Some(first.clone()) {
+        book.note(&format!("r{now}"), PromptStep::Ended, at(now));
+        now += 100;
+        assert!(now < 30_000, "it isn't tried again");
+    }
+    book.note(&format!("r{now}"), PromptStep::Read, at(now));
+    // Other engines hold the prompt by now as well; they share it.
+    let again = (1..9).filter(|number| {
+        let chosen = book.choose(&wanted(now + number), &records, at(now + number));
+        chosen.as_ref() == Some(&first)
+    });
+    assert!(again.count() >= 2, "it takes several at a time again");
+}
+
+#[test]
+fn engines_that_are_gone_get_nothing_though_they_are_most_of_all() {
+    let records = engines(ENGINES);
+    let mut book = EngineBook::new(MEMORY);
+    let mut number = 0;
+    let mut choose = |book: &mut EngineBook, now: u64| {
+        number += 1;
+        let request = format!("r{number}");
+        let wanted = ask(&request, &format!("p{}", number % 40), 10_000, 100);
+        let chosen = book.choose(&wanted, &records, at(now)).expect("one");
+        (request, chosen)
+    };
+    // Six of nine crash at the same time.
+    let is_crashed = |engine: &TargetId| {
+        let crashed = &records[..6];
+        crashed.iter().any(|record| record.id == *engine)
+    };
+    let mut refused = 0;
+    for now in 0..600 {
+        let (request, chosen) = choose(&mut book, now);
+        let step = if is_crashed(&chosen) {
+            refused += 1;
+            PromptStep::Gone
+        } else {
+            PromptStep::Read
+        };
+        book.note(&request, step, at(now));
+        book.note(&request, PromptStep::Ended, at(now));
+    }
+    assert_eq!(refused, 6, "each is tried once");
+}
+
+#[test]
+fn engine_that_failed_is_tried_again_though_its_streams_go_on() {
+    let records = engines(2);
+    let mut book = EngineBook::new(MEMORY);
+    let wanted = |request: &str| ask(request, "p", 10_000, 100);
+    let first = book.choose(&wanted("long"), &records, at(0)).expect("one");
+    // Its stream lasts for seconds; two others fail.
+    book.note("long", PromptStep::Read, at(100));
+    for request in ["a", "b"] {
+        assert_eq!(
+            book.choose(&wanted(request), &records, at(100)),
+            Some(first.clone())
+        );
+        book.note(request, PromptStep::Failed, at(100));
+    }
+    let other = book.choose(&wanted("c"), &records, at(200));
+    assert_ne!(other, Some(first.clone()));
+    book.note("c", PromptStep::Read, at(300));
+    book.note("c", PromptStep::Ended, at(400));
+    let again = book.choose(&wanted("d"), &records, at(1_000));
+    assert_eq!(again, Some(first), "0.7 seconds are over");
+}
--- a/crates/gateway/src/engines/engine_client.rs
+++ b/crates/gateway/src/engines/engine_client.rs
@@ -3,7 +3,7 @@
 use smol::Timer;
 use verbenahub_core::{
     clock::{ClockTime, TimeSpan},
-    engines::{EngineAsk, PromptEnd},
+    engines::{EngineAsk, PromptStep},
     ids::{NodeId, PoolName, TargetId},
 };
 
@@ -19,19 +19,19 @@
 const ASK_TIMEOUT: TimeSpan = TimeSpan::from_millis(50);
 /// Time for which a node that did not answer isn't asked.
 const SILENCE_SPAN: TimeSpan = TimeSpan::from_millis(500);
-/// Time over which ends are collected before they are told. Short against the
+/// Time over which steps are collected before they are told. Short against the
 /// time in which an engine reads a prompt.
 const COLLECT_TIME: Duration = Duration::from_millis(8);
 /// Time for an answer to the news.
 const NOTE_TIMEOUT: TimeSpan = TimeSpan::from_millis(1_000);
 
-/// Requests with how engines' work on their prompts has ended.
-type PromptEnds = Vec<(String, PromptEnd)>;
+/// Requests with how far engines have come with them.
+type PromptSteps = Vec<(String, PromptStep)>;
 
-/// Asks the node that chooses engines, and tells it how work on prompts ends.
+/// Asks the node that chooses engines, and tells it how requests go on.
 #[derive(Debug, Default)]
 pub struct EngineClient {
-    ends: RefCell<HashMap<(NodeId, PoolName), PromptEnds>>,
+    steps: RefCell<HashMap<(NodeId, PoolName), PromptSteps>>,
     /// Nodes that did not answer, and until when they aren't asked.
     silent: RefCell<HashMap<NodeId, ClockTime>>,
 }
@@ -76,27 +76,27 @@
         }
     }
 
-    /// Tells the node that chose an engine how its work on a prompt has ended.
+    /// Tells the node that chose an engine how far that has come.
     pub(super) fn note(
         &self,
         shared: &Shared,
         chooser: &NodeId,
         service: &PoolName,
         request: String,
-        end: PromptEnd,
+        step: PromptStep,
     ) {
         if *chooser == shared.profile.node {
             let note = EngineNote {
                 service: service.clone(),
-                ends: vec![(request, end)],
+                steps: vec![(request, step)],
             };
             shared.engine_desk.note(shared, &note);
             return;
         }
         let key = (chooser.clone(), service.clone());
-        let mut ends = self.ends.borrow_mut();
-        let collected = ends.entry(key.clone()).or_default();
-        collected.push((request, end));
+        let mut steps = self.steps.borrow_mut();
+        let collected = steps.entry(key.clone()).or_default();
+        collected.push((request, step));
         if collected.len() == 1 {
             let task = Shared::clone(shared);
             shared.tasks.spawn(async move {
@@ -107,18 +107,18 @@
     }
 
     async fn tell(&self, shared: &Shared, key: (NodeId, PoolName)) {
-        let ends = self.ends.borrow_mut().remove(&key).unwrap_or_default();
+        let steps = self.steps.borrow_mut().remove(&key).unwrap_or_default();
         let (chooser, service) = key;
         let Some(address) = shared.fleet.borrow().address_of(&chooser) else {
             return;
         };
-        let note = EngineNote { service, ends };
+        let note = EngineNote { service, steps };
         let peers = &shared.peers;
         let told = peers.call::<_, PeerAck>(address, ENGINE_NOTE_PATH, &note, NOTE_TIMEOUT);
         if let Err(error) = told.await {
-            // The chooser forgets prompts by itself after a while.
-            slog::debug!(shared.log, "engines: Ends not told.";
-                "chooser" => %chooser, "prompts" => note.ends.len(), "error" => %error);
+            // The chooser forgets requests by itself after a while.
+            slog::debug!(shared.log, "engines: Steps not told.";
+                "chooser" => %chooser, "steps" => note.steps.len(), "error" => %error);
         }
     }
 }
--- a/crates/gateway/src/engines/engine_desk.rs
+++ b/crates/gateway/src/engines/engine_desk.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 use verbenahub_core::{
-    engines::{EngineAsk, EngineBook, PromptEnd},
+    engines::{EngineAsk, EngineBook, PromptStep},
     ids::{PoolName, TargetId},
 };
 
@@ -18,13 +18,13 @@
     pub engine: Option<TargetId>,
 }
 
-/// Tells how engines' work on prompts has ended.
+/// Tells how far engines have come with requests.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct EngineNote {
     /// Service of the engines.
     pub service: PoolName,
-    /// The requests.
-    pub ends: Vec<(String, PromptEnd)>,
+    /// The requests, each with its steps in their order.
+    pub steps: Vec<(String, PromptStep)>,
 }
 
 /// The books of the engines that this node chooses among.
@@ -58,12 +58,12 @@
         book.choose(ask, &candidates, now)
     }
 
-    /// Takes note of how work on prompts has ended.
+    /// Takes note of how far engines have come.
     pub fn note(&self, shared: &Shared, note: &EngineNote) {
         let now = shared.now();
         if let Some(book) = self.books.borrow_mut().get_mut(&note.service) {
-            for (request, end) in &note.ends {
-                book.end(request, *end, now);
+            for (request, step) in &note.steps {
+                book.note(request, *step, now);
             }
         }
     }
--- a/crates/gateway/src/engines/prompt_place.rs
+++ b/crates/gateway/src/engines/prompt_place.rs
@@ -1,19 +1,19 @@
 use verbenahub_core::{
-    engines::PromptEnd,
+    engines::PromptStep,
     ids::{NodeId, PoolName},
 };
 
 use crate::process::Shared;
 
-/// A prompt that an engine was chosen for. The node that chose is told when it
-/// ends.
+/// A request that an engine was chosen for. The node that chose is told how it
+/// goes on, and of its end when this is dropped.
 #[derive(Debug)]
 pub struct PromptPlace {
     shared: Shared,
     chooser: NodeId,
     service: PoolName,
     request: String,
-    end: PromptEnd,
+    end: PromptStep,
 }
 
 impl PromptPlace {
@@ -23,26 +23,35 @@
             chooser,
             service,
             request: request.to_owned(),
-            end: PromptEnd::Dropped,
+            end: PromptStep::Ended,
         }
     }
 
-    /// Ends it.
-    pub fn finish(mut self, end: PromptEnd) {
+    /// The node that chose the engine.
+    #[must_use]
+    pub const fn chooser(&self) -> &NodeId {
+        &self.chooser
+    }
+
+    /// Tells that the engine has read the prompt.
+    pub fn note_read(&self) {
+        self.tell(PromptStep::Read);
+    }
+
+    /// Ends it with a step that says more of the engine than that it is over.
+    pub fn finish(mut self, end: PromptStep) {
         self.end = end;
     }
+
+    fn tell(&self, step: PromptStep) {
+        let engines = &self.shared.engines;
+        let request = self.request.clone();
+        engines.note(&self.shared, &self.chooser, &self.service, request, step);
+    }
 }
 
 impl Drop for PromptPlace {
     fn drop(&mut self) {
-        let request = std::mem::take(&mut self.request);
-        let engines = &self.shared.engines;
-        engines.note(
-            &self.shared,
-            &self.chooser,
-            &self.service,
-            request,
-            self.end,
-        );
+        self.tell(self.end);
     }
 }
--- a/crates/gateway/src/front/stream_flow.rs
+++ b/crates/gateway/src/front/stream_flow.rs
@@ -1,7 +1,7 @@
 use bytes::{BufMut, Bytes, BytesMut};
 use verbenahub_core::{
     clock::{ClockTime, TimeSpan},
-    engines::PromptEnd,
+    engines::PromptStep,
     policy::health::CallOutcome,
 };
 use verbenahub_platform::headers;
@@ -123,6 +123,7 @@
             slog::warn!(shared.log, "request: Stream broke.";
                 "request" => &request.id, "target" => %self.exchange.record().id,
                 "last_event" => self.last_event.clone(), "reason" => &reason);
+            self.send.end_place(PromptStep::Failed);
             if !self.resume().await {
                 return RequestEnd::broken("stream_broken", Some(status), reason);
             }
@@ -236,7 +237,7 @@
             // elsewhere, they would lie until the end of all; these have theirs
             // made anew.
             self.guard = None;
-            self.send.end_place(PromptEnd::Read);
+            self.send.note_read();
         }
         let id = event_id(event).map(str::to_owned);
         self.last_event = id
--- a/crates/gateway/src/front/target_send.rs
+++ b/crates/gateway/src/front/target_send.rs
@@ -2,7 +2,7 @@
 
 use verbenahub_core::{
     clock::TimeSpan,
-    engines::{EngineAsk, PromptEnd},
+    engines::{EngineAsk, PromptStep},
     ids::ZoneName,
     policy::health::CallOutcome,
     routes::{RouteKind, SendLedger},
@@ -21,6 +21,8 @@
     targets::{ExchangeAsk, SendError, TargetExchange, within},
 };
 
+/// Status of a target that isn't the one that was named.
+const MISDIRECTED: u16 = 421;
 /// Targets that are tried at most, those included that can't be reached.
 const TRIES: usize = 4;
 /// Time for the body of a refusal, which comes at once or is no use.
@@ -46,7 +48,7 @@
     pub(super) inputs: Option<Vec<String>>,
     /// Zone in which they lie.
     pub(super) zone: Option<ZoneName>,
-    /// The prompt's place at its engine, until that has read it.
+    /// The request's place at the engine that was chosen for it.
     place: Option<PromptPlace>,
 }
 
@@ -129,7 +131,9 @@
                     if !refused {
                         return Ok(exchange);
                     }
-                    self.place = None;
+                    if exchange.head.status == MISDIRECTED {
+                        self.end_place(PromptStep::Gone);
+                    }
                     self.drain(exchange).await;
                     self.ledger.note_not_run();
                     if !self.may_retry() {
@@ -137,14 +141,21 @@
                     }
                 }
                 Err(error) if error.is_not_run() => {
-                    self.end_place(PromptEnd::Failed);
+                    // A connection that doesn't come about may be this node's
+                    // own fault.
+                    let is_gone = matches!(error, SendError::Refused(_));
+                    self.end_place(if is_gone {
+                        PromptStep::Gone
+                    } else {
+                        PromptStep::Failed
+                    });
                     self.ledger.note_not_sent();
                     if !self.may_retry() {
                         return Err(self.give_up("target_unreachable"));
                     }
                 }
                 Err(_) => {
-                    self.end_place(PromptEnd::Failed);
+                    self.end_place(PromptStep::Failed);
                     self.ledger.note_ran();
                     if !self.may_retry() {
                         return Err(self.give_up("target_failed"));
@@ -215,6 +226,7 @@
             "request" => &request.id, "target" => %record.id, "zone" => %record.zone,
             "attempt" => self.ledger.tries(), "end" => end,
             "targets_revision" => %record.revision, "left" => %left,
+            "chooser" => self.place.as_ref().map(|place| place.chooser().to_string()),
             "took" => %self.shared.now().since(begun));
         result
     }
@@ -235,9 +247,16 @@
         patience.max(LEAST_PATIENCE).min(left)
     }
 
-    /// Tells the node that chose the engine how its work on the prompt has
+    /// Tells the node that chose the engine that this has read the prompt.
+    pub(super) fn note_read(&self) {
+        if let Some(place) = &self.place {
+            place.note_read();
+        }
+    }
+
+    /// Tells the node that chose the engine how its work on the request has
     /// ended.
-    pub(super) fn end_place(&mut self, end: PromptEnd) {
+    pub(super) fn end_place(&mut self, end: PromptStep) {
         if let Some(place) = self.place.take() {
             place.finish(end);
         }
--- a/crates/gateway/src/targets/send_error.rs
+++ b/crates/gateway/src/targets/send_error.rs
@@ -4,9 +4,12 @@
 /// Why a call to a target brought no usable answer.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum SendError {
-    /// No byte was sent: the target didn't accept a connection.
+    /// No byte was sent: no connection came about.
     #[error("not sent: {0}")]
     NotSent(String),
+    /// No byte was sent: nothing listens at the target's address.
+    #[error("not sent: {0}")]
+    Refused(String),
     /// The connection broke after the call was sent.
     #[error("broken: {0}")]
     Broken(String),
@@ -22,7 +25,7 @@
     /// Whether the call has certainly not run.
     #[must_use]
     pub const fn is_not_run(&self) -> bool {
-        matches!(self, Self::NotSent(_))
+        matches!(self, Self::NotSent(_) | Self::Refused(_))
     }
 
     /// What the failure says about the target's health.
@@ -30,7 +33,9 @@
     pub const fn outcome(&self) -> CallOutcome {
         match self {
             Self::Stalled => CallOutcome::Stalled,
-            Self::NotSent(_) | Self::Broken(_) | Self::Malformed(_) => CallOutcome::Failed,
+            Self::NotSent(_) | Self::Refused(_) | Self::Broken(_) | Self::Malformed(_) => {
+                CallOutcome::Failed
+            }
         }
     }
 
@@ -38,7 +43,7 @@
     #[must_use]
     pub const fn label(&self) -> &'static str {
         match self {
-            Self::NotSent(_) => "not_sent",
+            Self::NotSent(_) | Self::Refused(_) => "not_sent",
             Self::Broken(_) => "broken",
             Self::Stalled => "stalled",
             Self::Malformed(_) => "malformed",
--- a/crates/gateway/src/targets/target_exchange.rs
+++ b/crates/gateway/src/targets/target_exchange.rs
@@ -1,4 +1,4 @@
-use std::sync::Arc;
+use std::{io::ErrorKind, sync::Arc};
 
 use bytes::{Bytes, BytesMut};
 use verbenahub_core::{
@@ -233,6 +233,9 @@
     let connected = within(CONNECT_TIMEOUT, HttpStream::connect(record.address)).await;
     match connected {
         Some(Ok(stream)) => Ok(stream),
+        Some(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+            Err(SendError::Refused(error.to_string()))
+        }
         Some(Err(error)) => Err(SendError::NotSent(error.to_string())),
         None => Err(SendError::NotSent("no connection in time".to_owned())),
     }
--- a/crates/gateway/tests/endless.rs
+++ b/crates/gateway/tests/endless.rs
@@ -6,8 +6,8 @@
 
 use serde_json::json;
 use support::{
-    CallerRequest, GatewayProcess, any_port, config, register, route, usual_routes, usual_store,
-    wait_for,
+    CallerRequest, GatewayProcess, any_port, config, register, route, start_targets, usual_routes,
+    usual_store, wait_for,
 };
 use verbenahub_platform_standin::{
     EngineTarget, PlainTarget, RawCall, RawReply, ReplyPart, RunLog, StageTarget, StoreServer,
@@ -31,19 +31,9 @@
     {
         let store = usual_store();
         let log = RunLog::default();
-        let targets: Vec<PlainTarget> = (0..targets)
-            .map(|place| {
-                let number = log.clone();
-                let script = script.clone();
-                let id = format!("t{place}");
-                let target = PlainTarget::start(any_port(), &id, &log, move |call: &RawCall| {
-                    script(call, number.runs().len())
-                });
-                let target = target.expect("a target");
-                register(&store, &id, service, target.server().address());
-                target
-            })
-            .collect();
+        let seen = log.clone();
+        let script = move |call: &RawCall| script(call, seen.runs().len());
+        let targets = start_targets(&store, &log, service, "t", targets, script);
         let gateway = GatewayProcess::start_ready("n1", store.address());
         let known = targets.len();
         gateway.wait_line(|line| line["targets"] == known);
--- a/crates/gateway/tests/relay.rs
+++ b/crates/gateway/tests/relay.rs
@@ -6,7 +6,8 @@
 use std::{io::Write, net::Shutdown, time::Duration};
 
 use support::{
-    CallerRequest, GatewayProcess, RawAnswer, any_port, connect, register, usual_store, wait_for,
+    CallerRequest, GatewayProcess, RawAnswer, any_port, connect, register, start_targets,
+    usual_store, wait_for,
 };
 use verbenahub_platform_standin::{PlainTarget, RawCall, RawReply, ReplyPart, RunLog};
 
@@ -25,15 +26,7 @@
     {
         let store = usual_store();
         let log = RunLog::default();
-        let targets: Vec<PlainTarget> = (0..targets)
-            .map(|number| {
-                let id = format!("t{number}");
-                let target = PlainTarget::start(any_port(), &id, &log, script.clone());
-                let target = target.expect("a target");
-                register(&store, &id, "desk", target.server().address());
-                target
-            })
-            .collect();
+        let targets = start_targets(&store, &log, "desk", "t", targets, script);
         let gateway = GatewayProcess::start_ready("n1", store.address());
         let known = targets.len();
         gateway.wait_line(|line| line["targets"] == known);
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -6,8 +6,8 @@
 
 use serde_json::{Value, json};
 use support::{
-    CallerRequest, GatewayProcess, RawAnswer, any_port, config, register, route, usual_routes,
-    usual_store, wait_for,
+    CallerRequest, GatewayProcess, RawAnswer, any_port, config, register, route, start_targets,
+    usual_routes, usual_store, wait_for,
 };
 use verbenahub_platform_standin::{
     EngineTarget, PlainTarget, RawCall, RawReply, ReplyPart, RunLog, StageTarget, StoreServer,
@@ -31,15 +31,7 @@
     {
         let store = usual_store();
         let log = RunLog::default();
-        let engines: Vec<PlainTarget> = (0..engines)
-            .map(|number| {
-                let id = format!("e{number}");
-                let engine = PlainTarget::start(any_port(), &id, &log, script.clone());
-                let engine = engine.expect("an engine");
-                register(&store, &id, "pool", engine.server().address());
-                engine
-            })
-            .collect();
+        let engines = start_targets(&store, &log, "pool", "e", engines, script);
         let gateway = GatewayProcess::start_ready("n1", store.address());
         let known = engines.len();
         gateway.wait_line(|line| line["targets"] == known);
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -16,7 +16,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 use tempfile::TempDir;
-use verbenahub_platform_standin::{NodeFile, StoreServer};
+use verbenahub_platform_standin::{NodeFile, PlainTarget, RawCall, RawReply, RunLog, StoreServer};
 
 /// Bound on what never comes, so that a broken gateway ends the test.
 pub const PATIENCE: Duration = Duration::from_secs(20);
@@ -414,6 +414,29 @@
     store.put(&format!("servers/{id}"), &record);
 }
 
+/// Starts targets of a service that follow a script, named by a prefix and their
+/// number, and registers them.
+pub fn start_targets<Script>(
+    store: &StoreServer,
+    log: &RunLog,
+    service: &str,
+    prefix: &str,
+    count: usize,
+    script: Script,
+) -> Vec<PlainTarget>
+where
+    Script: Fn(&RawCall) -> RawReply + Clone + Send + Sync + 'static,
+{
+    let targets = (0..count).map(|number| {
+        let id = format!("{prefix}{number}");
+        let target = PlainTarget::start(any_port(), &id, log, script.clone());
+        let target = target.expect("a target");
+        register(store, &id, service, target.server().address());
+        target
+    });
+    targets.collect()
+}
+
 /// A store with the usual configuration.
 pub fn usual_store() -> StoreServer {
     let store = StoreServer::start(any_port()).expect("a store");
