Name the engine in the news of a prompt

Cause: what a node tells of an engine is collected for 8 ms, while the request that it has turned away goes on at once and is given another engine. The news came after that choice, and the failure was counted for the healthy engine. Change: news names the engine and its run; what is told of a run that is over does not count for the next one; a choice that a node doesn't follow is taken back.

--- a/crates/core/src/engines/engine_book.rs
+++ b/crates/core/src/engines/engine_book.rs
@@ -3,7 +3,7 @@
     sync::Arc,
 };
 
-use super::{EngineAsk, PromptStep, engine_memory::EngineMemory};
+use super::{EngineAsk, PromptNews, PromptStep, engine_memory::EngineMemory};
 use crate::{
     clock::{ClockTime, TimeSpan},
     cluster::rendezvous,
@@ -44,8 +44,8 @@
     health: TargetHealth,
     /// Whether it was left out and has read nothing since.
     is_doubted: bool,
-    /// The one request that it was given since.
-    trial: Option<String>,
+    /// The one request that it was given since, and how long that is waited for.
+    trial: Option<(String, ClockTime)>,
     /// Whether that was since it could not be reached.
     is_gone: bool,
 }
@@ -55,7 +55,8 @@
     /// read. Engines that fail at once have nothing to read and would draw all
     /// prompts that they held.
     fn is_left_out(&self, now: ClockTime) -> bool {
-        self.health.is_ejected(now) || (self.is_doubted && self.trial.is_some())
+        let trial = self.trial.as_ref().filter(|(_, until)| *until > now);
+        self.health.is_ejected(now) || (self.is_doubted && trial.is_some())
     }
 }
 
@@ -124,10 +125,10 @@
         let tokens = state.memory.read(&ask.shared, ask.own, self.memory).get();
         state.pending += tokens;
         state.requests += 1;
+        let forgotten_at = now + LONGEST_WAIT;
         if state.is_doubted {
-            state.trial.get_or_insert_with(|| ask.request.clone());
+            state.trial = Some((ask.request.clone(), forgotten_at));
         }
-        let forgotten_at = now + LONGEST_WAIT;
         self.forgotten.insert((forgotten_at, ask.request.clone()));
         self.requests.insert(
             ask.request.clone(),
@@ -142,19 +143,24 @@
     }
 
     /// Takes note of how far an engine has come with a request.
-    pub fn note(&mut self, request: &str, step: PromptStep, now: ClockTime) {
-        let engine = match step {
-            PromptStep::Read => self.note_read(request, now),
-            PromptStep::Ended | PromptStep::Failed | PromptStep::Gone => self.remove(request),
-        };
-        let Some(state) = engine.and_then(|engine| self.engines.get_mut(&engine)) else {
+    pub fn note(&mut self, news: &PromptNews, now: ClockTime) {
+        let placed = self.requests.get(&news.request);
+        if placed.is_some_and(|placed| placed.engine == news.engine) {
+            if news.step == PromptStep::Read {
+                self.note_read(&news.request, now);
+            } else {
+                self.remove(&news.request);
+            }
+        }
+        let state = self.engines.get_mut(&news.engine);
+        let Some(state) = state.filter(|state| state.started_at == news.started_at) else {
             return;
         };
-        let is_out = match step {
+        state.trial.take_if(|(request, _)| *request == news.request);
+        let is_out = match news.step {
             PromptStep::Read => {
                 state.is_doubted = false;
                 state.is_gone = false;
-                state.trial = None;
                 state.health.observe(CallOutcome::Answered, &HEALTH_RULE)
             }
             PromptStep::Ended => false,
@@ -298,32 +304,30 @@
         }
     }
 
-    /// Notes that an engine has read a prompt. Returns the engine.
-    fn note_read(&mut self, request: &str, now: ClockTime) -> Option<TargetId> {
-        let placed = self.requests.get_mut(request)?;
+    /// Notes that a request's engine has read its prompt.
+    fn note_read(&mut self, request: &str, now: ClockTime) {
+        let Some(placed) = self.requests.get_mut(request) else {
+            return;
+        };
         let tokens = std::mem::take(&mut placed.tokens);
-        self.forgotten
-            .remove(&(placed.forgotten_at, request.to_owned()));
+        let former = (placed.forgotten_at, request.to_owned());
         placed.forgotten_at = now + LONGEST_STREAM;
-        self.forgotten
-            .insert((placed.forgotten_at, request.to_owned()));
-        let engine = placed.engine.clone();
-        if let Some(state) = self.engines.get_mut(&engine) {
+        self.forgotten.remove(&former);
+        self.forgotten.insert((placed.forgotten_at, former.1));
+        if let Some(state) = self.engines.get_mut(&placed.engine) {
             state.pending = state.pending.saturating_sub(tokens);
         }
-        Some(engine)
     }
 
-    /// Removes a request. Returns its engine.
-    fn remove(&mut self, request: &str) -> Option<TargetId> {
-        let placed = self.requests.remove(request)?;
+    fn remove(&mut self, request: &str) {
+        let Some(placed) = self.requests.remove(request) else {
+            return;
+        };
         self.forgotten
             .remove(&(placed.forgotten_at, request.to_owned()));
         if let Some(state) = self.engines.get_mut(&placed.engine) {
             state.pending = state.pending.saturating_sub(placed.tokens);
             state.requests = state.requests.saturating_sub(1);
-            state.trial.take_if(|trial| trial == request);
         }
-        Some(placed.engine)
     }
 }
--- a/crates/core/src/engines/mod.rs
+++ b/crates/core/src/engines/mod.rs
@@ -3,10 +3,11 @@
 mod engine_ask;
 mod engine_book;
 mod engine_memory;
+mod prompt_news;
 mod prompt_part;
 mod prompt_step;
 
 pub use self::{
-    engine_ask::EngineAsk, engine_book::EngineBook, prompt_part::PromptPart,
-    prompt_step::PromptStep,
+    engine_ask::EngineAsk, engine_book::EngineBook, prompt_news::PromptNews,
+    prompt_part::PromptPart, prompt_step::PromptStep,
 };
--- a/crates/core/tests/engine_book.rs
+++ b/crates/core/tests/engine_book.rs
@@ -6,7 +6,7 @@
 use fastrand::Rng;
 use verbenahub_core::{
     clock::{ClockTime, TimeSpan},
-    engines::{EngineAsk, EngineBook, PromptPart, PromptStep},
+    engines::{EngineAsk, EngineBook, PromptNews, PromptPart, PromptStep},
     ids::{EraNumber, PoolName, StoreRevision, TargetId, ZoneName},
     policy::health::CallOutcome,
     targets::{ChoiceAsk, TargetLoads, TargetRecord, TargetState},
@@ -48,6 +48,21 @@
     }
 }
 
+fn news(request: &str, engine: &TargetId, step: PromptStep) -> PromptNews {
+    PromptNews {
+        request: request.to_owned(),
+        engine: engine.clone(),
+        started_at: Some(1),
+        step,
+    }
+}
+
+/// Tells a book how far the engine that it has chosen for a request has come.
+fn tell(book: &mut EngineBook, request: &str, step: PromptStep, now: u64) {
+    let engine = book.engine_of(request).expect("a place").clone();
+    book.note(&news(request, &engine, step), at(now));
+}
+
 /// What one engine of the model does: reads prompts one after the other.
 #[derive(Clone, Debug, Default)]
 struct ModelEngine {
@@ -102,7 +117,10 @@
                 Chooser::Nodes(nodes) => {
                     nodes[*node].end(&records[*engine].id, CallOutcome::Answered, clock);
                 }
-                Chooser::Book(book) => book.note(request, PromptStep::Read, clock),
+                Chooser::Book(book) => {
+                    let read = news(request, &records[*engine].id, PromptStep::Read);
+                    book.note(&read, clock);
+                }
             }
             false
         });
@@ -181,7 +199,7 @@
     let records = engines(ENGINES);
     let mut book = EngineBook::new(MEMORY);
     let first = book.choose(&ask("r1", "p", 10_000, 100), &records, at(0));
-    book.note("r1", PromptStep::Read, at(100));
+    tell(&mut book, "r1", PromptStep::Read, 100);
     for number in 2..6 {
         let request = format!("r{number}");
         let chosen = book.choose(&ask(&request, "p", 10_000, 100), &records, at(200));
@@ -219,7 +237,7 @@
     let pending_of = |book: &mut EngineBook, request: &str, prompt: &str| {
         book.choose(&ask(request, prompt, 10_000, 1_000), &records, at(0));
         let pending = book.pending(&id).get();
-        book.note(request, PromptStep::Read, at(0));
+        tell(book, request, PromptStep::Read, 0);
         pending
     };
     assert_eq!(pending_of(&mut book, "r1", "p"), 11_000);
@@ -235,10 +253,10 @@
     let records = engines(ENGINES);
     let mut book = EngineBook::new(MEMORY);
     let first = book.choose(&ask("r1", "p", 10_000, 100), &records, at(0));
-    book.note("r1", PromptStep::Failed, at(0));
+    tell(&mut book, "r1", PromptStep::Failed, 0);
     let again = book.choose(&ask("r2", "p", 10_000, 100), &records, at(0));
     assert_eq!(again, first, "one failure may be the request's");
-    book.note("r2", PromptStep::Failed, at(0));
+    tell(&mut book, "r2", PromptStep::Failed, 0);
     let other = book.choose(&ask("r3", "p", 10_000, 100), &records, at(10));
     assert_ne!(other, first);
     let back = book.choose(&ask("r4", "q", 10_000, 100), &records[..1], at(10));
@@ -281,7 +299,7 @@
     book.choose(&ask("r2", "p", 10_000, 100), &records, later);
     assert_eq!(book.pending(&records[0].id).get(), 100);
     // Told after all, it changes nothing.
-    book.note("r1", PromptStep::Read, later);
+    book.note(&news("r1", &records[0].id, PromptStep::Read), later);
     assert_eq!(book.pending(&records[0].id).get(), 100);
 }
 
@@ -302,7 +320,7 @@
     let mut place = |number: u32, now: u64| {
         let request = format!("r{number}");
         let chosen = book.choose(&ask(&request, "p", 10_000, 100), &records, at(now));
-        book.note(&request, PromptStep::Read, at(now));
+        tell(&mut book, &request, PromptStep::Read, now);
         (chosen.expect("an engine"), request)
     };
     // Streams that have begun and last hold their slots.
@@ -315,7 +333,7 @@
     for number in 1..2 * slots {
         place(100 + number, 30);
     }
-    book.note(&first, PromptStep::Ended, at(40));
+    tell(&mut book, &first, PromptStep::Ended, 40);
     let chosen = book.choose(&ask("last", "p", 10_000, 100), &records, at(40));
     assert_eq!(chosen, Some(holder), "a slot is free again");
 }
@@ -326,7 +344,7 @@
     let mut book = EngineBook::new(MEMORY);
     let wanted = |number: u64| ask(&format!("r{number}"), "p", 10_000, 100);
     let first = book.choose(&wanted(0), &records, at(0)).expect("one");
-    book.note("r0", PromptStep::Gone, at(0));
+    tell(&mut book, "r0", PromptStep::Gone, 0);
     // It crashes and stays away for ten seconds, in which a request comes every
     // 20 ms. What it refuses is known a moment later.
     let mut refused = 0;
@@ -336,7 +354,7 @@
         if chosen == first {
             refused += 1;
         }
-        if let Some(earlier) = number.checked_sub(5) {
+        if let Some(earlier) = number.checked_sub(5).filter(|earlier| *earlier > 0) {
             let request = format!("r{earlier}");
             // Those at other engines are read by then.
             let step = if book.engine_of(&request) == Some(&first) {
@@ -344,18 +362,18 @@
             } else {
                 PromptStep::Read
             };
-            book.note(&request, step, now);
+            tell(&mut book, &request, step, number * 20);
         }
     }
     assert!((1..=8).contains(&refused), "{refused} tries in ten seconds");
     // It is back and reads a prompt.
     let mut now = 20_000;
     while book.choose(&wanted(now), &records, at(now)) != Some(first.clone()) {
-        book.note(&format!("r{now}"), PromptStep::Ended, at(now));
+        tell(&mut book, &format!("r{now}"), PromptStep::Ended, now);
         now += 100;
         assert!(now < 30_000, "it isn't tried again");
     }
-    book.note(&format!("r{now}"), PromptStep::Read, at(now));
+    tell(&mut book, &format!("r{now}"), PromptStep::Read, now);
     // Other engines hold the prompt by now as well; they share it.
     let again = (1..9).filter(|number| {
         let chosen = book.choose(&wanted(now + number), &records, at(now + number));
@@ -390,8 +408,10 @@
         } else {
             PromptStep::Read
         };
-        book.note(&request, step, at(now));
-        book.note(&request, PromptStep::Ended, at(now));
+        tell(&mut book, &request, step, now);
+        if step == PromptStep::Read {
+            tell(&mut book, &request, PromptStep::Ended, now);
+        }
     }
     assert_eq!(refused, 6, "each is tried once");
 }
@@ -403,18 +423,58 @@
     let wanted = |request: &str| ask(request, "p", 10_000, 100);
     let first = book.choose(&wanted("long"), &records, at(0)).expect("one");
     // Its stream lasts for seconds; two others fail.
-    book.note("long", PromptStep::Read, at(100));
+    tell(&mut book, "long", PromptStep::Read, 100);
     for request in ["a", "b"] {
         assert_eq!(
             book.choose(&wanted(request), &records, at(100)),
             Some(first.clone())
         );
-        book.note(request, PromptStep::Failed, at(100));
+        tell(&mut book, request, PromptStep::Failed, 100);
     }
     let other = book.choose(&wanted("c"), &records, at(200));
     assert_ne!(other, Some(first.clone()));
-    book.note("c", PromptStep::Read, at(300));
-    book.note("c", PromptStep::Ended, at(400));
+    tell(&mut book, "c", PromptStep::Read, 300);
+    tell(&mut book, "c", PromptStep::Ended, 400);
     let again = book.choose(&wanted("d"), &records, at(1_000));
     assert_eq!(again, Some(first), "0.7 seconds are over");
 }
+
+#[test]
+fn news_of_the_engine_that_a_request_has_left_does_not_count_for_its_next_one() {
+    let records = engines(ENGINES);
+    let mut book = EngineBook::new(MEMORY);
+    let is_crashed = |engine: &TargetId| records[..2].iter().any(|record| record.id == *engine);
+    // Two of nine crash. Their requests go on at once, and what is told of them
+    // comes a moment after their next choice.
+    let mut late: Vec<(u64, PromptNews)> = Vec::new();
+    let mut taken = vec![0; ENGINES];
+    let mut refused = 0;
+    for now in 0..2_000 {
+        late.retain(|(due, news)| {
+            if *due <= now {
+                book.note(news, at(now));
+            }
+            *due > now
+        });
+        if now % 10 != 0 {
+            continue;
+        }
+        let request = format!("r{now}");
+        let mut wanted = ask(&request, &format!("p{}", now % 400), 10_000, 100);
+        let mut chosen = book.choose(&wanted, &records, at(now)).expect("one");
+        while is_crashed(&chosen) {
+            refused += 1;
+            late.push((now + 10, news(&request, &chosen, PromptStep::Gone)));
+            wanted.avoid.push(chosen);
+            chosen = book.choose(&wanted, &records, at(now)).expect("one");
+        }
+        let place = records.iter().position(|record| record.id == chosen);
+        taken[place.expect("one of them")] += 1;
+        late.push((now + 100, news(&request, &chosen, PromptStep::Read)));
+        late.push((now + 500, news(&request, &chosen, PromptStep::Ended)));
+    }
+    // At first, and after 0.7 and 1.4 seconds more.
+    assert!(refused <= 6, "{refused} requests went to the crashed ones");
+    // Each of the others gets half of its share at least.
+    assert!(taken[2..].iter().all(|count| *count >= 14), "{taken:?}");
+}
--- a/crates/gateway/src/engines/engine_client.rs
+++ b/crates/gateway/src/engines/engine_client.rs
@@ -1,10 +1,11 @@
-use std::{cell::RefCell, collections::HashMap, time::Duration};
+use std::{cell::RefCell, collections::HashMap, sync::Arc, time::Duration};
 
 use smol::Timer;
 use verbenahub_core::{
     clock::{ClockTime, TimeSpan},
-    engines::{EngineAsk, PromptStep},
+    engines::{EngineAsk, PromptNews, PromptStep},
     ids::{NodeId, PoolName, TargetId},
+    targets::TargetRecord,
 };
 
 use super::{EngineNote, EngineReply, PromptPlace};
@@ -19,40 +20,51 @@
 const ASK_TIMEOUT: TimeSpan = TimeSpan::from_millis(50);
 /// Time for which a node that did not answer isn't asked.
 const SILENCE_SPAN: TimeSpan = TimeSpan::from_millis(500);
-/// Time over which steps are collected before they are told. Short against the
+/// Time over which news is collected before it is told. Short against the
 /// time in which an engine reads a prompt.
 const COLLECT_TIME: Duration = Duration::from_millis(8);
 /// Time for an answer to the news.
 const NOTE_TIMEOUT: TimeSpan = TimeSpan::from_millis(1_000);
 
-/// Requests with how far engines have come with them.
-type PromptSteps = Vec<(String, PromptStep)>;
-
 /// Asks the node that chooses engines, and tells it how requests go on.
 #[derive(Debug, Default)]
 pub struct EngineClient {
-    steps: RefCell<HashMap<(NodeId, PoolName), PromptSteps>>,
+    news: RefCell<HashMap<(NodeId, PoolName), Vec<PromptNews>>>,
     /// Nodes that did not answer, and until when they aren't asked.
     silent: RefCell<HashMap<NodeId, ClockTime>>,
 }
 
 impl EngineClient {
     /// Has an engine chosen for a prompt by the node that chooses for all. Gives
-    /// nothing if there is none or it doesn't answer.
+    /// nothing if there is none, it doesn't answer, or it names an engine that
+    /// isn't one of the candidates or must be avoided.
     pub async fn choose(
         &self,
         shared: &Shared,
         key: &str,
         ask: &EngineAsk,
-    ) -> Option<(TargetId, PromptPlace)> {
+        candidates: &[Arc<TargetRecord>],
+    ) -> Option<PromptPlace> {
         let chooser = shared.stages.collector(shared, &ask.service, key)?;
         let engine = if chooser == shared.profile.node {
             shared.engine_desk.choose(shared, ask)?
         } else {
             self.ask(shared, &chooser, ask).await?
         };
-        let place = PromptPlace::new(shared, chooser, ask.service.clone(), &ask.request);
-        Some((engine, place))
+        let mut records = candidates.iter();
+        let named = records.find(|record| record.id == engine);
+        let Some(record) = named.filter(|_| !ask.avoid.contains(&engine)) else {
+            let news = PromptNews {
+                request: ask.request.clone(),
+                engine,
+                started_at: None,
+                step: PromptStep::Ended,
+            };
+            self.note(shared, &chooser, &ask.service, news);
+            return None;
+        };
+        let record = Arc::clone(record);
+        Some(PromptPlace::new(shared, chooser, record, &ask.request))
     }
 
     async fn ask(&self, shared: &Shared, chooser: &NodeId, ask: &EngineAsk) -> Option<TargetId> {
@@ -82,21 +94,20 @@
         shared: &Shared,
         chooser: &NodeId,
         service: &PoolName,
-        request: String,
-        step: PromptStep,
+        news: PromptNews,
     ) {
         if *chooser == shared.profile.node {
             let note = EngineNote {
                 service: service.clone(),
-                steps: vec![(request, step)],
+                news: vec![news],
             };
             shared.engine_desk.note(shared, &note);
             return;
         }
         let key = (chooser.clone(), service.clone());
-        let mut steps = self.steps.borrow_mut();
-        let collected = steps.entry(key.clone()).or_default();
-        collected.push((request, step));
+        let mut collecting = self.news.borrow_mut();
+        let collected = collecting.entry(key.clone()).or_default();
+        collected.push(news);
         if collected.len() == 1 {
             let task = Shared::clone(shared);
             shared.tasks.spawn(async move {
@@ -107,18 +118,18 @@
     }
 
     async fn tell(&self, shared: &Shared, key: (NodeId, PoolName)) {
-        let steps = self.steps.borrow_mut().remove(&key).unwrap_or_default();
+        let news = self.news.borrow_mut().remove(&key).unwrap_or_default();
         let (chooser, service) = key;
         let Some(address) = shared.fleet.borrow().address_of(&chooser) else {
             return;
         };
-        let note = EngineNote { service, steps };
+        let note = EngineNote { service, news };
         let peers = &shared.peers;
         let told = peers.call::<_, PeerAck>(address, ENGINE_NOTE_PATH, &note, NOTE_TIMEOUT);
         if let Err(error) = told.await {
             // The chooser forgets requests by itself after a while.
-            slog::debug!(shared.log, "engines: Steps not told.";
-                "chooser" => %chooser, "steps" => note.steps.len(), "error" => %error);
+            slog::debug!(shared.log, "engines: News not told.";
+                "chooser" => %chooser, "news" => note.news.len(), "error" => %error);
         }
     }
 }
--- a/crates/gateway/src/engines/engine_desk.rs
+++ b/crates/gateway/src/engines/engine_desk.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 use verbenahub_core::{
-    engines::{EngineAsk, EngineBook, PromptStep},
+    engines::{EngineAsk, EngineBook, PromptNews},
     ids::{PoolName, TargetId},
 };
 
@@ -23,8 +23,8 @@
 pub struct EngineNote {
     /// Service of the engines.
     pub service: PoolName,
-    /// The requests, each with its steps in their order.
-    pub steps: Vec<(String, PromptStep)>,
+    /// The news, in its order.
+    pub news: Vec<PromptNews>,
 }
 
 /// The books of the engines that this node chooses among.
@@ -62,8 +62,8 @@
     pub fn note(&self, shared: &Shared, note: &EngineNote) {
         let now = shared.now();
         if let Some(book) = self.books.borrow_mut().get_mut(&note.service) {
-            for (request, step) in &note.steps {
-                book.note(request, *step, now);
+            for news in &note.news {
+                book.note(news, now);
             }
         }
     }
--- a/crates/gateway/src/engines/prompt_place.rs
+++ b/crates/gateway/src/engines/prompt_place.rs
@@ -1,6 +1,9 @@
+use std::sync::Arc;
+
 use verbenahub_core::{
-    engines::PromptStep,
-    ids::{NodeId, PoolName},
+    engines::{PromptNews, PromptStep},
+    ids::NodeId,
+    targets::TargetRecord,
 };
 
 use crate::process::Shared;
@@ -11,17 +14,22 @@
 pub struct PromptPlace {
     shared: Shared,
     chooser: NodeId,
-    service: PoolName,
+    record: Arc<TargetRecord>,
     request: String,
     end: PromptStep,
 }
 
 impl PromptPlace {
-    pub(super) fn new(shared: &Shared, chooser: NodeId, service: PoolName, request: &str) -> Self {
+    pub(super) fn new(
+        shared: &Shared,
+        chooser: NodeId,
+        record: Arc<TargetRecord>,
+        request: &str,
+    ) -> Self {
         Self {
             shared: Shared::clone(shared),
             chooser,
-            service,
+            record,
             request: request.to_owned(),
             end: PromptStep::Ended,
         }
@@ -33,6 +41,12 @@
         &self.chooser
     }
 
+    /// The engine.
+    #[must_use]
+    pub const fn record(&self) -> &Arc<TargetRecord> {
+        &self.record
+    }
+
     /// Tells that the engine has read the prompt.
     pub fn note_read(&self) {
         self.tell(PromptStep::Read);
@@ -44,9 +58,14 @@
     }
 
     fn tell(&self, step: PromptStep) {
+        let news = PromptNews {
+            request: self.request.clone(),
+            engine: self.record.id.clone(),
+            started_at: self.record.started_at,
+            step,
+        };
         let engines = &self.shared.engines;
-        let request = self.request.clone();
-        engines.note(&self.shared, &self.chooser, &self.service, request, step);
+        engines.note(&self.shared, &self.chooser, &self.record.service, news);
     }
 }
 
--- a/crates/gateway/src/front/target_send.rs
+++ b/crates/gateway/src/front/target_send.rs
@@ -269,18 +269,13 @@
         let Some((key, ask)) = self.engine_ask() else {
             return self.choose();
         };
-        let chosen = self.shared.engines.choose(self.shared, &key, &ask).await;
         let candidates = self.shared.ready_targets(&self.request.service);
-        let named = chosen.and_then(|(engine, place)| {
-            let mut records = candidates.into_iter();
-            let record = records.find(|record| record.id == engine)?;
-            (!ask.avoid.contains(&engine)).then_some((record, place))
-        });
-        let Some((record, place)) = named else {
-            return self.choose();
-        };
-        self.place = Some(place);
-        Some(record)
+        let engines = &self.shared.engines;
+        self.place = engines.choose(self.shared, &key, &ask, &candidates).await;
+        match &self.place {
+            Some(place) => Some(Arc::clone(place.record())),
+            None => self.choose(),
+        }
     }
 
     /// What the choice of an engine is asked for, if the request has a prompt,
