Weigh results in other zones by their size when an engine is chosen

Hypothesis: with the results' size by zone, short parts stay where they are held and large results are read where they lie. Change: an ask names the results by zone with their size; 1,000 bytes away count as a token, the time of either at a gigabit a second. Test: 1,000 requests with results of 60 kB and of 6 MB anywhere; fails with 2,000 tokens for any (seen).

--- a/crates/core/src/engines/engine_ask.rs
+++ b/crates/core/src/engines/engine_ask.rs
@@ -1,8 +1,8 @@
 use serde::{Deserialize, Serialize};
 
-use super::PromptPart;
+use super::{PromptPart, ZoneResults};
 use crate::{
-    ids::{PoolName, TargetId, ZoneName},
+    ids::{PoolName, TargetId},
     units::TokenCount,
 };
 
@@ -17,8 +17,8 @@
     pub shared: Vec<PromptPart>,
     /// Size of what only this request has.
     pub own: TokenCount,
-    /// Zone of what the engine reads beside the prompt.
-    pub zone: Option<ZoneName>,
+    /// What the engine reads beside the prompt.
+    pub results: Vec<ZoneResults>,
     /// Engines that must not get it.
     pub avoid: Vec<TargetId>,
 }
--- a/crates/core/src/engines/engine_book.rs
+++ b/crates/core/src/engines/engine_book.rs
@@ -22,8 +22,9 @@
 /// How much reading shared parts again counts beside the time of the request
 /// itself: it also delays what comes to the engine after it.
 const REREAD_WEIGHT: u64 = 2;
-/// Tokens that count as much as reading results in another zone.
-const AWAY_TOKENS: u64 = 2_000;
+/// Bytes of results whose way from another zone takes as long as an engine takes
+/// to read a token: some 8 microseconds at a gigabit a second.
+const AWAY_BYTES: u64 = 1_000;
 /// When engines are left out. All nodes' requests count here, so that two
 /// failures in a row are enough.
 const HEALTH_RULE: HealthRule = HealthRule {
@@ -250,8 +251,10 @@
         let first = ranks.iter().copied().max()?;
         let costs = pool.iter().zip(missing.iter().zip(&ranks));
         let best = costs.min_by_key(|(record, (missing, rank))| {
-            let is_away = ask.zone.as_ref().is_some_and(|zone| *zone != record.zone);
-            let away = if is_away { AWAY_TOKENS } else { 0 };
+            let others = ask.results.iter();
+            let others = others.filter(|results| results.zone != record.zone);
+            let away: u64 = others.map(|results| results.size.as_bytes()).sum();
+            let away = away / AWAY_BYTES;
             let is_first = is_unknown && **rank == first;
             let again = if is_first { 0 } else { **missing };
             let state = &self.engines[&record.id];
--- a/crates/core/src/engines/mod.rs
+++ b/crates/core/src/engines/mod.rs
@@ -6,8 +6,9 @@
 mod prompt_news;
 mod prompt_part;
 mod prompt_step;
+mod zone_results;
 
 pub use self::{
     engine_ask::EngineAsk, engine_book::EngineBook, prompt_news::PromptNews,
-    prompt_part::PromptPart, prompt_step::PromptStep,
+    prompt_part::PromptPart, prompt_step::PromptStep, zone_results::ZoneResults,
 };
--- a/crates/core/tests/engine_book.rs
+++ b/crates/core/tests/engine_book.rs
@@ -6,11 +6,11 @@
 use fastrand::Rng;
 use verbenahub_core::{
     clock::{ClockTime, TimeSpan},
-    engines::{EngineAsk, EngineBook, PromptNews, PromptPart, PromptStep},
+    engines::{EngineAsk, EngineBook, PromptNews, PromptPart, PromptStep, ZoneResults},
     ids::{EraNumber, PoolName, StoreRevision, TargetId, ZoneName},
     policy::health::CallOutcome,
     targets::{ChoiceAsk, TargetLoads, TargetRecord, TargetState},
-    units::TokenCount,
+    units::{ByteSize, TokenCount},
 };
 
 const MEMORY: TokenCount = TokenCount::new(845_000);
@@ -43,7 +43,7 @@
         request: request.to_owned(),
         shared: vec![PromptPart::new(prompt, TokenCount::new(shared))],
         own: TokenCount::new(own),
-        zone: None,
+        results: Vec::new(),
         avoid: Vec::new(),
     }
 }
@@ -478,3 +478,37 @@
     // Each of the others gets half of its share at least.
     assert!(taken[2..].iter().all(|count| *count >= 14), "{taken:?}");
 }
+
+#[test]
+fn results_draw_a_prompt_to_their_zone_by_what_their_way_costs() {
+    let records = engines(ENGINES);
+    let mut rng = Rng::with_seed(7);
+    // Short prompts that many share, read by requests whose results lie in any
+    // zone: of 60 kB, then of 6 MB.
+    let mut readings = |kilobytes: u64| {
+        let mut book = EngineBook::new(MEMORY);
+        let (mut tokens, mut away) = (0, 0);
+        for number in 0..1_000 {
+            let request = format!("r{number}");
+            let mut wanted = ask(&request, &format!("p{}", rng.u32(0..40)), 350, 0);
+            let zone = ZoneName::new(&format!("z{}", rng.u32(0..4))).expect("a name");
+            wanted.results.push(ZoneResults {
+                zone: zone.clone(),
+                size: ByteSize::from_bytes(kilobytes * 1_000),
+            });
+            let now = number * 20;
+            let chosen = book.choose(&wanted, &records, at(now)).expect("one");
+            tokens += book.pending(&chosen).get();
+            let record = records.iter().find(|record| record.id == chosen);
+            away += u32::from(record.expect("one of them").zone != zone);
+            tell(&mut book, &request, PromptStep::Read, now);
+            tell(&mut book, &request, PromptStep::Ended, now);
+        }
+        (tokens, away)
+    };
+    let (tokens, _) = readings(60);
+    assert_eq!(tokens, 40 * 350, "each is read once");
+    let (tokens, away) = readings(6_000);
+    assert_eq!(away, 0);
+    assert!(tokens <= 4 * 40 * 350, "read once in each zone: {tokens}");
+}
--- a/crates/gateway/src/front/target_send.rs
+++ b/crates/gateway/src/front/target_send.rs
@@ -2,7 +2,7 @@
 
 use verbenahub_core::{
     clock::TimeSpan,
-    engines::{EngineAsk, PromptStep},
+    engines::{EngineAsk, PromptStep, ZoneResults},
     ids::ZoneName,
     policy::health::CallOutcome,
     routes::{RouteKind, SendLedger},
@@ -46,8 +46,8 @@
     pub(super) ledger: SendLedger,
     /// Results that the target reads first.
     pub(super) inputs: Option<Vec<String>>,
-    /// Zone in which they lie.
-    pub(super) zone: Option<ZoneName>,
+    /// Where they lie, that of the most first.
+    results: Vec<ZoneResults>,
     /// The request's place at the engine that was chosen for it.
     place: Option<PromptPlace>,
 }
@@ -59,7 +59,7 @@
             request,
             ledger: SendLedger::default(),
             inputs: None,
-            zone: None,
+            results: Vec::new(),
             place: None,
         }
     }
@@ -67,7 +67,7 @@
     /// Takes over what the stages have produced.
     pub(super) fn take_inputs(&mut self, output: &StageOutput) {
         self.inputs = Some(output.inputs.clone());
-        self.zone.clone_from(&output.zone);
+        self.results.clone_from(&output.results);
     }
 
     /// Zone of the target that may hold the request's prompt.
@@ -295,7 +295,7 @@
             request: request.id.clone(),
             shared: shared.to_vec(),
             own: own.tokens,
-            zone: self.zone.clone(),
+            results: self.results.clone(),
             avoid: loads.unusable(&candidates, &self.choice_ask()),
         };
         Some((key, ask))
@@ -311,7 +311,7 @@
         ChoiceAsk {
             now: self.shared.now(),
             tried: self.ledger.tried(),
-            zone: self.zone.as_ref(),
+            zone: self.results.first().map(|results| &results.zone),
             affinity: prompt_affinity(self.request),
             seed: self.shared.random(),
         }
--- a/crates/gateway/src/staging/stage_flow.rs
+++ b/crates/gateway/src/staging/stage_flow.rs
@@ -1,11 +1,13 @@
-use std::sync::Arc;
+use std::{cmp::Reverse, collections::BTreeMap, sync::Arc};
 
 use smol::Task;
 use verbenahub_core::{
     clock::{ClockTime, TimeSpan},
+    engines::ZoneResults,
     ids::{PoolName, ZoneName},
     routes::{RouteConfig, RouteSpec},
     staging::{GraphProgress, PathEstimate},
+    units::ByteSize,
 };
 use verbenahub_platform::{PieceInput, result_maker};
 
@@ -37,8 +39,8 @@
 pub struct StageOutput {
     /// Names of the results that the request itself reads.
     pub inputs: Vec<String>,
-    /// Zone in which most of what it reads lies.
-    pub zone: Option<ZoneName>,
+    /// Where they lie, that of the most first.
+    pub results: Vec<ZoneResults>,
     /// Gives the results up when it is dropped.
     pub guard: ResultGuard,
 }
@@ -121,9 +123,7 @@
         }
         let inputs = guard.progress.final_results();
         Ok(StageOutput {
-            zone: self
-                .main_zone(guard.progress.final_results_sized())
-                .map(|(zone, _)| zone),
+            results: self.by_zone(guard.progress.final_results_sized()),
             inputs,
             guard,
         })
@@ -214,33 +214,42 @@
     fn home_of(&self, progress: &GraphProgress, stage: usize) -> Option<ZoneName> {
         let spec = &self.route.stages[stage];
         let pieces = u64::from(progress.pieces(stage));
-        let read = self.main_zone(progress.inputs_sized(stage));
-        if let Some((zone, bytes)) = read {
-            return (bytes * pieces >= LARGE_RESULTS).then_some(zone);
+        let read = self.by_zone(progress.inputs_sized(stage));
+        if let Some(most) = read.first() {
+            let sizes = read.iter().map(|results| results.size.as_bytes());
+            let is_large = sizes.sum::<u64>() * pieces >= LARGE_RESULTS;
+            return is_large.then(|| most.zone.clone());
         }
         let is_large = pieces * spec.result_bytes >= LARGE_RESULTS;
         self.home.clone().filter(|_| is_large)
     }
 
-    /// The zone of the makers of most bytes of some results, with the size of
-    /// all of them.
-    fn main_zone<'a, Results>(&self, results: Results) -> Option<(ZoneName, u64)>
+    /// The zones of the makers of some results, that of the most first. Empty if
+    /// the maker of one isn't known.
+    fn by_zone<'a, Results>(&self, results: Results) -> Vec<ZoneResults>
     where
         Results: Iterator<Item = (&'a str, u64)>,
     {
         let registry = self.shared.registry.borrow();
-        let mut sizes: Vec<(ZoneName, u64)> = Vec::new();
-        let mut total = 0;
-        for (name, bytes) in results {
-            total += bytes;
+        let zone_of = |name| {
             let maker = result_maker(name)?;
-            let record = registry.records().find(|record| record.address == maker)?;
-            match sizes.iter_mut().find(|(zone, _)| *zone == record.zone) {
-                Some((_, size)) => *size += bytes,
-                None => sizes.push((record.zone.clone(), bytes)),
-            }
+            let mut records = registry.records();
+            let record = records.find(|record| record.address == maker)?;
+            Some(record.zone.clone())
+        };
+        let mut sizes: BTreeMap<ZoneName, u64> = BTreeMap::new();
+        for (name, bytes) in results {
+            let Some(zone) = zone_of(name) else {
+                return Vec::new();
+            };
+            *sizes.entry(zone).or_default() += bytes;
         }
-        let largest = sizes.into_iter().max_by_key(|(_, size)| *size)?;
-        Some((largest.0, total))
+        let zones = sizes.into_iter().map(|(zone, bytes)| ZoneResults {
+            zone,
+            size: ByteSize::from_bytes(bytes),
+        });
+        let mut zones: Vec<_> = zones.collect();
+        zones.sort_by_key(|results| Reverse(results.size));
+        zones
     }
 }
