Let requests wait for a prompt that another one has an engine read

Ruled out: the book's idea of the engines' memory (0.03 to 0.13 million), nodes that choose alone (20 of 10,000). Hypothesis: sent when the first has been read, they are read sooner, and the engine has less to read. Change: the book knows which request has an engine read which beginnings, and names it with the choice; the asking node waits for the news of it, two seconds at most, where 1,000 tokens or more are shared. What was never read doesn't count as held.

--- a/crates/core/src/engines/engine_book.rs
+++ b/crates/core/src/engines/engine_book.rs
@@ -25,6 +25,9 @@
 /// Bytes of results whose way from another zone takes as long as an engine takes
 /// to read a token: some 8 microseconds at a gigabit a second.
 const AWAY_BYTES: u64 = 1_000;
+/// Tokens of shared parts whose reading by another request is waited for. Less
+/// is read before the news of it comes.
+const LEAST_AWAITED: TokenCount = TokenCount::new(1_000);
 /// When engines are left out. All nodes' requests count here, so that two
 /// failures in a row are enough.
 const HEALTH_RULE: HealthRule = HealthRule {
@@ -69,6 +72,10 @@
     started_at: Option<u64>,
     /// Tokens that the engine has yet to read.
     tokens: u64,
+    /// Whether it has not read the prompt yet.
+    is_reading: bool,
+    /// The request that has the engine read parts which this one shares.
+    reader: Option<String>,
     /// When it is forgotten.
     forgotten_at: ClockTime,
 }
@@ -83,7 +90,8 @@
 /// each engine has to read, and of what it holds already, sends each prompt
 /// where it is read soonest, and seldom to a second engine. An engine whose
 /// slots are taken lets requests wait for the end of a stream, so it gets no
-/// more while others have slots.
+/// more while others have slots. Requests that share parts which an engine is
+/// just reading are sent there when it has read them.
 #[derive(Debug)]
 pub struct EngineBook {
     memory: TokenCount,
@@ -123,7 +131,12 @@
         self.remove(&ask.request);
         let chosen = self.best(ask, candidates, now)?;
         let state = self.engines.get_mut(&chosen)?;
-        let tokens = state.memory.read(&ask.shared, ask.own, self.memory).get();
+        let awaited = state.memory.reader(&ask.shared);
+        let awaited = awaited.filter(|(_, tokens)| *tokens >= LEAST_AWAITED);
+        let reader = awaited.map(|(reader, _)| reader.to_owned());
+        let memory = &mut state.memory;
+        let tokens = memory.read(&ask.request, &ask.shared, ask.own, self.memory);
+        let tokens = tokens.get();
         state.pending += tokens;
         state.requests += 1;
         let forgotten_at = now + LONGEST_WAIT;
@@ -137,6 +150,8 @@
                 engine: chosen.clone(),
                 started_at: state.started_at,
                 tokens,
+                is_reading: true,
+                reader,
                 forgotten_at,
             },
         );
@@ -183,6 +198,21 @@
         self.requests.get(request).map(|placed| &placed.engine)
     }
 
+    /// The request that should be read before another one is sent to the same
+    /// engine: it has that read parts which both share. Engines that get both at
+    /// the same time read those parts twice.
+    #[must_use]
+    pub fn reader_for(&self, request: &str) -> Option<&str> {
+        self.requests.get(request)?.reader.as_deref()
+    }
+
+    /// Whether an engine still has to read a request's prompt.
+    #[must_use]
+    pub fn is_reading(&self, request: &str) -> bool {
+        let placed = self.requests.get(request);
+        placed.is_some_and(|placed| placed.is_reading)
+    }
+
     /// Tokens that an engine has to read.
     #[must_use]
     pub fn pending(&self, engine: &TargetId) -> TokenCount {
@@ -298,11 +328,13 @@
         });
     }
 
-    /// Removes the requests of which nothing was told for too long.
+    /// Removes the requests of which nothing was told for too long. Their engines
+    /// have probably read them: it is the nodes that told nothing.
     fn forget(&mut self, now: ClockTime) {
         while let Some((at, request)) = self.forgotten.first().cloned()
             && at <= now
         {
+            self.note_read(&request, now);
             self.remove(&request);
         }
     }
@@ -313,12 +345,14 @@
             return;
         };
         let tokens = std::mem::take(&mut placed.tokens);
+        placed.is_reading = false;
         let former = (placed.forgotten_at, request.to_owned());
         placed.forgotten_at = now + LONGEST_STREAM;
         self.forgotten.remove(&former);
         self.forgotten.insert((placed.forgotten_at, former.1));
         if let Some(state) = self.engines.get_mut(&placed.engine) {
             state.pending = state.pending.saturating_sub(tokens);
+            state.memory.end_reading(request, true);
         }
     }
 
@@ -331,6 +365,9 @@
         if let Some(state) = self.engines.get_mut(&placed.engine) {
             state.pending = state.pending.saturating_sub(placed.tokens);
             state.requests = state.requests.saturating_sub(1);
+            if placed.is_reading {
+                state.memory.end_reading(request, false);
+            }
         }
     }
 }
--- a/crates/gateway/src/engines/engine_client.rs
+++ b/crates/gateway/src/engines/engine_client.rs
@@ -4,13 +4,13 @@
 use verbenahub_core::{
     clock::{ClockTime, TimeSpan},
     engines::{EngineAsk, PromptNews, PromptStep},
-    ids::{NodeId, PoolName, TargetId},
+    ids::{NodeId, PoolName},
     targets::TargetRecord,
 };
 
-use super::{EngineNote, EngineReply, PromptPlace};
+use super::{EngineNote, EngineReply, PromptPlace, ReadAsk};
 use crate::{
-    peers::{ENGINE_NOTE_PATH, ENGINE_PATH, PeerAck, PeerError},
+    peers::{ENGINE_NOTE_PATH, ENGINE_PATH, ENGINE_WAIT_PATH, PeerAck, PeerError},
     process::Shared,
     targets::within,
 };
@@ -20,6 +20,9 @@
 const ASK_TIMEOUT: TimeSpan = TimeSpan::from_millis(50);
 /// Time for which a node that did not answer isn't asked.
 const SILENCE_SPAN: TimeSpan = TimeSpan::from_millis(500);
+/// Longest time for which another request's prompt is waited for. Sums of
+/// prompts that engines have to read are shorter.
+const READ_TIMEOUT: TimeSpan = TimeSpan::from_millis(2_000);
 /// Time over which news is collected before it is told. Short against the
 /// time in which an engine reads a prompt.
 const COLLECT_TIME: Duration = Duration::from_millis(8);
@@ -35,7 +38,8 @@
 }
 
 impl EngineClient {
-    /// Has an engine chosen for a prompt by the node that chooses for all. Gives
+    /// Has an engine chosen for a prompt by the node that chooses for all, and
+    /// waits until that has read the parts which others have it read. Gives
     /// nothing if there is none, it doesn't answer, or it names an engine that
     /// isn't one of the candidates or must be avoided.
     pub async fn choose(
@@ -46,11 +50,12 @@
         candidates: &[Arc<TargetRecord>],
     ) -> Option<PromptPlace> {
         let chooser = shared.stages.collector(shared, &ask.service, key)?;
-        let engine = if chooser == shared.profile.node {
-            shared.engine_desk.choose(shared, ask)?
+        let reply = if chooser == shared.profile.node {
+            shared.engine_desk.choose(shared, ask)
         } else {
             self.ask(shared, &chooser, ask).await?
         };
+        let engine = reply.engine?;
         let mut records = candidates.iter();
         let named = records.find(|record| record.id == engine);
         let Some(record) = named.filter(|_| !ask.avoid.contains(&engine)) else {
@@ -64,10 +69,38 @@
             return None;
         };
         let record = Arc::clone(record);
-        Some(PromptPlace::new(shared, chooser, record, &ask.request))
+        let place = PromptPlace::new(shared, chooser, record, &ask.request);
+        if let Some(reader) = reply.reader {
+            self.wait_read(shared, place.chooser(), ask, reader).await;
+        }
+        Some(place)
+    }
+
+    /// Waits until an engine has read another request, or never will.
+    async fn wait_read(&self, shared: &Shared, chooser: &NodeId, ask: &EngineAsk, reader: String) {
+        let begun = shared.now();
+        let read = ReadAsk {
+            service: ask.service.clone(),
+            request: reader,
+            wait: READ_TIMEOUT,
+        };
+        let address = shared.fleet.borrow().address_of(chooser);
+        if *chooser == shared.profile.node {
+            shared.engine_desk.wait_read(&read).await;
+        } else if let Some(address) = address {
+            let peers = &shared.peers;
+            let told = peers.call::<_, PeerAck>(address, ENGINE_WAIT_PATH, &read, READ_TIMEOUT);
+            if let Err(error) = told.await {
+                slog::warn!(shared.log, "engines: Wait for a prompt broke off.";
+                    "request" => &ask.request, "chooser" => %chooser, "error" => %error);
+            }
+        }
+        slog::info!(shared.log, "engines: Waited for a shared prompt.";
+            "request" => &ask.request, "reader" => &read.request,
+            "took" => %shared.now().since(begun));
     }
 
-    async fn ask(&self, shared: &Shared, chooser: &NodeId, ask: &EngineAsk) -> Option<TargetId> {
+    async fn ask(&self, shared: &Shared, chooser: &NodeId, ask: &EngineAsk) -> Option<EngineReply> {
         let now = shared.now();
         let silent = self.silent.borrow().get(chooser).copied();
         if silent.is_some_and(|until| until > now) {
@@ -77,7 +110,7 @@
         let call = shared.peers.call(address, ENGINE_PATH, ask, ASK_TIMEOUT);
         let reply: Option<Result<EngineReply, PeerError>> = within(ASK_TIMEOUT, call).await;
         match reply.unwrap_or(Err(PeerError::Silent)) {
-            Ok(reply) => reply.engine,
+            Ok(reply) => Some(reply),
             Err(error) => {
                 slog::warn!(shared.log, "engines: Chooser did not answer.";
                     "request" => &ask.request, "chooser" => %chooser, "error" => %error);
--- a/crates/gateway/src/engines/engine_desk.rs
+++ b/crates/gateway/src/engines/engine_desk.rs
@@ -3,19 +3,34 @@
     collections::{BTreeSet, HashMap},
 };
 
+use event_listener::Event;
 use serde::{Deserialize, Serialize};
 use verbenahub_core::{
+    clock::TimeSpan,
     engines::{EngineAsk, EngineBook, PromptNews},
     ids::{PoolName, TargetId},
 };
 
-use crate::process::Shared;
+use crate::{process::Shared, targets::within};
 
 /// Names the engine for a prompt.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct EngineReply {
     /// The engine; none if the node knows none.
     pub engine: Option<TargetId>,
+    /// The request that should be read first, if there is one.
+    pub reader: Option<String>,
+}
+
+/// Asks to be told when an engine has read a request, or never will.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ReadAsk {
+    /// Service of the engines.
+    pub service: PoolName,
+    /// The request.
+    pub request: String,
+    /// How long the answer may take.
+    pub wait: TimeSpan,
 }
 
 /// Tells how far engines have come with requests.
@@ -31,12 +46,19 @@
 #[derive(Debug, Default)]
 pub struct EngineDesk {
     books: RefCell<HashMap<PoolName, EngineBook>>,
+    /// Fires with each news.
+    noted: Event,
 }
 
 impl EngineDesk {
     /// Chooses an engine for a prompt.
-    pub fn choose(&self, shared: &Shared, ask: &EngineAsk) -> Option<TargetId> {
-        let memory = shared.config()?.engine_memory(&ask.service)?;
+    pub fn choose(&self, shared: &Shared, ask: &EngineAsk) -> EngineReply {
+        let Some(memory) = shared
+            .config()
+            .and_then(|config| config.engine_memory(&ask.service))
+        else {
+            return EngineReply::default();
+        };
         let now = shared.now();
         let mut candidates = shared.ready_targets(&ask.service);
         let shards = shared.stages.shards(shared, &ask.service);
@@ -55,7 +77,30 @@
             .entry(ask.service.clone())
             .or_insert_with(|| EngineBook::new(memory));
         book.set_memory(memory);
-        book.choose(ask, &candidates, now)
+        let engine = book.choose(ask, &candidates, now);
+        let reader = book.reader_for(&ask.request).map(str::to_owned);
+        EngineReply { engine, reader }
+    }
+
+    /// Waits until an engine has read a request, or never will, or the time is
+    /// over.
+    pub async fn wait_read(&self, ask: &ReadAsk) {
+        let read = async {
+            loop {
+                let noted = self.noted.listen();
+                if !self.is_reading(ask) {
+                    break;
+                }
+                noted.await;
+            }
+        };
+        within(ask.wait, read).await;
+    }
+
+    fn is_reading(&self, ask: &ReadAsk) -> bool {
+        let books = self.books.borrow();
+        let book = books.get(&ask.service);
+        book.is_some_and(|book| book.is_reading(&ask.request))
     }
 
     /// Takes note of how far engines have come.
@@ -65,6 +110,7 @@
             for news in &note.news {
                 book.note(news, now);
             }
+            self.noted.notify(usize::MAX);
         }
     }
 }
--- a/crates/gateway/src/engines/mod.rs
+++ b/crates/gateway/src/engines/mod.rs
@@ -6,6 +6,6 @@
 
 pub use self::{
     engine_client::EngineClient,
-    engine_desk::{EngineDesk, EngineNote, EngineReply},
+    engine_desk::{EngineDesk, EngineNote, EngineReply, ReadAsk},
     prompt_place::PromptPlace,
 };
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -23,8 +23,10 @@
 pub const FREE_PATH: &str = "/free";
 /// Path of the choice of an engine.
 pub const ENGINE_PATH: &str = "/engine";
-/// Path of the news how engines' work on prompts has ended.
+/// Path of the news how far engines have come with requests.
 pub const ENGINE_NOTE_PATH: &str = "/engine-note";
+/// Path of the wait for an engine that reads a prompt.
+pub const ENGINE_WAIT_PATH: &str = "/engine-wait";
 /// Path of the wait for news.
 pub const FOLLOW_PATH: &str = "/follow";
 /// Path of the question whether a node is there.
--- a/crates/gateway/src/peers/peer_front.rs
+++ b/crates/gateway/src/peers/peer_front.rs
@@ -7,11 +7,11 @@
 use verbenahub_core::engines::EngineAsk;
 
 use super::{
-    ENGINE_NOTE_PATH, ENGINE_PATH, FOLLOW_PATH, FREE_PATH, FollowAsk, GOSSIP_PATH, GossipNote,
-    GossipReply, HoldingNote, NewsReply, PROBE_PATH, PeerAck, STAGE_PATH,
+    ENGINE_NOTE_PATH, ENGINE_PATH, ENGINE_WAIT_PATH, FOLLOW_PATH, FREE_PATH, FollowAsk,
+    GOSSIP_PATH, GossipNote, GossipReply, HoldingNote, NewsReply, PROBE_PATH, PeerAck, STAGE_PATH,
 };
 use crate::{
-    engines::{EngineNote, EngineReply},
+    engines::{EngineNote, ReadAsk},
     http::{BodyReader, HeaderList, HttpStream, RequestHead, ResponseHead, request_framing},
     process::{Shared, accept_each},
     staging::{FreeNote, StageAsk},
@@ -107,8 +107,13 @@
             }
             path if path == ENGINE_PATH.as_bytes() => {
                 let ask: EngineAsk = self.decode(body)?;
-                let engine = self.shared.engine_desk.choose(&self.shared, &ask);
-                self.encode(&EngineReply { engine })
+                let reply = self.shared.engine_desk.choose(&self.shared, &ask);
+                self.encode(&reply)
+            }
+            path if path == ENGINE_WAIT_PATH.as_bytes() => {
+                let ask: ReadAsk = self.decode(body)?;
+                self.shared.engine_desk.wait_read(&ask).await;
+                self.encode(&PeerAck)
             }
             path if path == ENGINE_NOTE_PATH.as_bytes() => {
                 let note: EngineNote = self.decode(body)?;
