Give the state of an engine and a placed request files of their own

Change: what an engine's health makes of news is EngineState's; tests of the choice, of failing engines and of what engines hold in a file each with one fixture.

--- a/crates/core/src/engines/engine_book.rs
+++ b/crates/core/src/engines/engine_book.rs
@@ -3,13 +3,16 @@
     sync::Arc,
 };
 
-use super::{EngineAsk, PromptNews, PromptStep, engine_memory::EngineMemory};
+use super::{
+    EngineAsk, PromptNews, PromptStep,
+    engine_state::{EngineState, HEALTH_RULE},
+    placed_request::PlacedRequest,
+};
 use crate::{
     clock::{ClockTime, TimeSpan},
     cluster::rendezvous,
     ids::TargetId,
-    policy::health::{CallOutcome, HealthRule, TargetHealth},
-    targets::{HEALTH_RULE as NODE_RULE, TargetRecord},
+    targets::TargetRecord,
     units::TokenCount,
 };
 
@@ -28,58 +31,6 @@
 /// Tokens of shared parts whose reading by another request is waited for. Less
 /// is read before the news of it comes.
 const LEAST_AWAITED: TokenCount = TokenCount::new(1_000);
-/// When engines are left out. All nodes' requests count here, so that two
-/// failures in a row are enough.
-const HEALTH_RULE: HealthRule = HealthRule {
-    failure_limit: 2,
-    ..NODE_RULE
-};
-
-/// One engine of a book.
-#[derive(Debug, Default)]
-struct EngineState {
-    /// Its run, if it tells.
-    started_at: Option<u64>,
-    memory: EngineMemory,
-    /// Tokens of prompts that it has to read.
-    pending: u64,
-    /// Requests that wait or run there.
-    requests: u32,
-    health: TargetHealth,
-    /// Whether it was left out and has read nothing since.
-    is_doubted: bool,
-    /// The one request that it was given since, and how long that is waited for.
-    trial: Option<(String, ClockTime)>,
-    /// Whether that was since it could not be reached.
-    is_gone: bool,
-}
-
-impl EngineState {
-    /// Whether it gets no requests: for a while, then but one until that is
-    /// read. Engines that fail at once have nothing to read and would draw all
-    /// prompts that they held.
-    fn is_left_out(&self, now: ClockTime) -> bool {
-        let trial = self.trial.as_ref().filter(|(_, until)| *until > now);
-        self.health.is_ejected(now) || (self.is_doubted && trial.is_some())
-    }
-}
-
-/// A request that an engine was chosen for.
-#[derive(Clone, Debug)]
-struct PlacedRequest {
-    engine: TargetId,
-    /// Run of the engine, if it tells.
-    started_at: Option<u64>,
-    /// Tokens that the engine has yet to read.
-    tokens: u64,
-    /// Whether it has not read the prompt yet.
-    is_reading: bool,
-    /// The request that has the engine read parts which this one shares.
-    reader: Option<String>,
-    /// When it is forgotten.
-    forgotten_at: ClockTime,
-}
-
 /// Chooses engines for the prompts of all nodes.
 ///
 /// Answers to this load pattern: prompts are long and differ much in length, an
@@ -137,12 +88,8 @@
         let memory = &mut state.memory;
         let tokens = memory.read(&ask.request, &ask.shared, ask.own, self.memory);
         let tokens = tokens.get();
-        state.pending += tokens;
-        state.requests += 1;
         let forgotten_at = now + LONGEST_WAIT;
-        if state.is_doubted {
-            state.trial = Some((ask.request.clone(), forgotten_at));
-        }
+        state.begin(&ask.request, tokens, forgotten_at);
         self.forgotten.insert((forgotten_at, ask.request.clone()));
         self.requests.insert(
             ask.request.clone(),
@@ -169,26 +116,8 @@
             }
         }
         let state = self.engines.get_mut(&news.engine);
-        let Some(state) = state.filter(|state| state.started_at == news.started_at) else {
-            return;
-        };
-        state.trial.take_if(|(request, _)| *request == news.request);
-        let is_out = match news.step {
-            PromptStep::Read => {
-                state.is_doubted = false;
-                state.is_gone = false;
-                state.health.observe(CallOutcome::Answered, &HEALTH_RULE)
-            }
-            PromptStep::Ended => false,
-            PromptStep::Failed => state.health.observe(CallOutcome::Failed, &HEALTH_RULE),
-            PromptStep::Gone => {
-                state.is_gone = true;
-                !state.health.is_ejected(now)
-            }
-        };
-        if is_out {
-            state.health.eject(&HEALTH_RULE, now);
-            state.is_doubted = true;
+        if let Some(state) = state.filter(|state| state.started_at == news.started_at) {
+            state.note(&news.request, news.step, now);
         }
     }
 
@@ -233,7 +162,7 @@
         let is_left_out =
             |record: &&Arc<TargetRecord>| state(record).is_some_and(|state| state.is_left_out(now));
         let is_gone = |record: &&Arc<TargetRecord>| {
-            is_left_out(record) && state(record).is_some_and(|state| state.is_gone)
+            state(record).is_some_and(|state| state.is_unreachable(now))
         };
         let allowed = candidates.iter();
         let allowed: Vec<_> = allowed
@@ -310,10 +239,7 @@
         for record in candidates {
             let state = former.remove(&record.id);
             let state = state.filter(|state| state.started_at == record.started_at);
-            let state = state.unwrap_or_else(|| EngineState {
-                started_at: record.started_at,
-                ..EngineState::default()
-            });
+            let state = state.unwrap_or_else(|| EngineState::new(record.started_at));
             self.engines.insert(record.id.clone(), state);
         }
         let engines = &self.engines;
--- a/crates/core/src/engines/mod.rs
+++ b/crates/core/src/engines/mod.rs
@@ -3,6 +3,8 @@
 mod engine_ask;
 mod engine_book;
 mod engine_memory;
+mod engine_state;
+mod placed_request;
 mod prompt_news;
 mod prompt_part;
 mod prompt_step;
--- a/crates/core/tests/engine_book.rs
+++ b/crates/core/tests/engine_book.rs
@@ -1,68 +1,24 @@
 //! The choice of engines for the prompts of many nodes, under a burst of long
-//! prompts, failures and restarts.
+//! prompts, by slots and by zones.
+
+mod engine_fixture;
 
 use std::{collections::HashMap, sync::Arc};
 
+use self::engine_fixture::{ENGINES, MEMORY, ask, at, engines, news, tell};
 use fastrand::Rng;
 use verbenahub_core::{
-    clock::{ClockTime, TimeSpan},
-    engines::{EngineAsk, EngineBook, PromptNews, PromptPart, PromptStep, ZoneResults},
-    ids::{EraNumber, PoolName, StoreRevision, TargetId, ZoneName},
+    engines::{EngineBook, PromptStep, ZoneResults},
+    ids::ZoneName,
     policy::health::CallOutcome,
-    targets::{ChoiceAsk, TargetLoads, TargetRecord, TargetState},
-    units::{ByteSize, TokenCount},
+    targets::{ChoiceAsk, TargetLoads, TargetRecord},
+    units::ByteSize,
 };
 
-const MEMORY: TokenCount = TokenCount::new(845_000);
 /// Tokens that an engine reads in a millisecond.
 const READ_RATE: f64 = 112.0;
-const ENGINES: usize = 9;
 const NODES: usize = 8;
 
-fn at(millis: u64) -> ClockTime {
-    ClockTime::from_millis(millis)
-}
-
-fn engines(count: usize) -> Vec<Arc<TargetRecord>> {
-    let record = |number: usize| TargetRecord {
-        id: TargetId::new(&format!("e{number}")).expect("an id"),
-        service: PoolName::new("pool").expect("a name"),
-        address: "10.0.0.1:80".parse().expect("an address"),
-        zone: ZoneName::new(&format!("z{}", number % 4)).expect("a name"),
-        slots: 128,
-        state: TargetState::Ready,
-        started_at: Some(1),
-        revision: StoreRevision::new(EraNumber::ZERO, 1),
-    };
-    (0..count).map(|number| Arc::new(record(number))).collect()
-}
-
-fn ask(request: &str, prompt: &str, shared: u64, own: u64) -> EngineAsk {
-    EngineAsk {
-        service: PoolName::new("pool").expect("a name"),
-        request: request.to_owned(),
-        shared: vec![PromptPart::new(prompt, TokenCount::new(shared))],
-        own: TokenCount::new(own),
-        results: Vec::new(),
-        avoid: Vec::new(),
-    }
-}
-
-fn news(request: &str, engine: &TargetId, step: PromptStep) -> PromptNews {
-    PromptNews {
-        request: request.to_owned(),
-        engine: engine.clone(),
-        started_at: Some(1),
-        step,
-    }
-}
-
-/// Tells a book how far the engine that it has chosen for a request has come.
-fn tell(book: &mut EngineBook, request: &str, step: PromptStep, now: u64) {
-    let engine = book.engine_of(request).expect("a place").clone();
-    book.note(&news(request, &engine, step), at(now));
-}
-
 /// What one engine of the model does: reads prompts one after the other.
 #[derive(Clone, Debug, Default)]
 struct ModelEngine {
@@ -229,80 +185,6 @@
     }
 }
 
-#[test]
-fn prompt_that_others_have_pushed_out_is_not_held() {
-    let records = engines(1);
-    let mut book = EngineBook::new(TokenCount::new(30_000));
-    let id = records[0].id.clone();
-    let pending_of = |book: &mut EngineBook, request: &str, prompt: &str| {
-        book.choose(&ask(request, prompt, 10_000, 1_000), &records, at(0));
-        let pending = book.pending(&id).get();
-        tell(book, request, PromptStep::Read, 0);
-        pending
-    };
-    assert_eq!(pending_of(&mut book, "r1", "p"), 11_000);
-    assert_eq!(pending_of(&mut book, "r2", "p"), 1_000);
-    for (request, prompt) in [("r3", "q"), ("r4", "r"), ("r5", "s")] {
-        pending_of(&mut book, request, prompt);
-    }
-    assert_eq!(pending_of(&mut book, "r6", "p"), 11_000);
-}
-
-#[test]
-fn engine_that_fails_twice_gets_nothing_for_a_while() {
-    let records = engines(ENGINES);
-    let mut book = EngineBook::new(MEMORY);
-    let first = book.choose(&ask("r1", "p", 10_000, 100), &records, at(0));
-    tell(&mut book, "r1", PromptStep::Failed, 0);
-    let again = book.choose(&ask("r2", "p", 10_000, 100), &records, at(0));
-    assert_eq!(again, first, "one failure may be the request's");
-    tell(&mut book, "r2", PromptStep::Failed, 0);
-    let other = book.choose(&ask("r3", "p", 10_000, 100), &records, at(10));
-    assert_ne!(other, first);
-    let back = book.choose(&ask("r4", "q", 10_000, 100), &records[..1], at(10));
-    assert_eq!(back, Some(records[0].id.clone()), "the only one is used");
-}
-
-#[test]
-fn engine_that_must_be_avoided_or_has_started_again_is_passed_over_or_empty() {
-    let mut records = engines(2);
-    let mut book = EngineBook::new(MEMORY);
-    let first = book.choose(&ask("r1", "p", 10_000, 100), &records, at(0));
-    let first = first.expect("an engine");
-    let mut avoiding = ask("r2", "p", 10_000, 100);
-    avoiding.avoid.push(first.clone());
-    assert_ne!(book.choose(&avoiding, &records, at(0)), Some(first.clone()));
-    for record in &mut records {
-        let again = TargetRecord {
-            started_at: Some(2),
-            ..TargetRecord::clone(record)
-        };
-        *record = Arc::new(again);
-    }
-    book.choose(&ask("r3", "p", 10_000, 100), &records, at(0));
-    let pending: u64 = records
-        .iter()
-        .map(|record| book.pending(&record.id).get())
-        .sum();
-    assert_eq!(
-        pending, 10_100,
-        "what was pending at the runs before is gone"
-    );
-}
-
-#[test]
-fn end_that_is_never_told_is_forgotten_after_a_while() {
-    let records = engines(1);
-    let mut book = EngineBook::new(MEMORY);
-    book.choose(&ask("r1", "p", 10_000, 100), &records, at(0));
-    let later = at(0) + TimeSpan::from_secs(7);
-    book.choose(&ask("r2", "p", 10_000, 100), &records, later);
-    assert_eq!(book.pending(&records[0].id).get(), 100);
-    // Told after all, it changes nothing.
-    book.note(&news("r1", &records[0].id, PromptStep::Read), later);
-    assert_eq!(book.pending(&records[0].id).get(), 100);
-}
-
 #[test]
 fn engine_whose_slots_are_taken_gets_no_more_while_others_have_some() {
     let slots = 16;
@@ -338,147 +220,6 @@
     assert_eq!(chosen, Some(holder), "a slot is free again");
 }
 
-#[test]
-fn engine_that_is_gone_is_tried_by_one_request_at_a_time() {
-    let records = engines(ENGINES);
-    let mut book = EngineBook::new(MEMORY);
-    // Prompts that no engine holds.
-    let wanted = |number: u64| ask(&format!("r{number}"), &format!("p{number}"), 10_000, 100);
-    let first = book.choose(&wanted(0), &records, at(0)).expect("one");
-    tell(&mut book, "r0", PromptStep::Gone, 0);
-    // It crashes and stays away for ten seconds, in which a request comes every
-    // 20 ms. What it refuses is known a moment later.
-    let mut refused = 0;
-    for number in 1..500 {
-        let now = at(number * 20);
-        let chosen = book.choose(&wanted(number), &records, now).expect("one");
-        if chosen == first {
-            refused += 1;
-        }
-        if let Some(earlier) = number.checked_sub(5).filter(|earlier| *earlier > 0) {
-            let request = format!("r{earlier}");
-            // Those at other engines are read by then.
-            let step = if book.engine_of(&request) == Some(&first) {
-                PromptStep::Gone
-            } else {
-                PromptStep::Read
-            };
-            tell(&mut book, &request, step, number * 20);
-        }
-    }
-    assert!((1..=8).contains(&refused), "{refused} tries in ten seconds");
-    // It is back and reads a prompt.
-    let mut now = 20_000;
-    while book.choose(&wanted(now), &records, at(now)) != Some(first.clone()) {
-        tell(&mut book, &format!("r{now}"), PromptStep::Ended, now);
-        now += 100;
-        assert!(now < 30_000, "it isn't tried again");
-    }
-    tell(&mut book, &format!("r{now}"), PromptStep::Read, now);
-    let again = (1..30).filter(|number| {
-        let chosen = book.choose(&wanted(now + number), &records, at(now + number));
-        chosen.as_ref() == Some(&first)
-    });
-    assert!(again.count() >= 2, "it takes several at a time again");
-}
-
-#[test]
-fn engines_that_are_gone_get_nothing_though_they_are_most_of_all() {
-    let records = engines(ENGINES);
-    let mut book = EngineBook::new(MEMORY);
-    let mut number = 0;
-    let mut choose = |book: &mut EngineBook, now: u64| {
-        number += 1;
-        let request = format!("r{number}");
-        let wanted = ask(&request, &format!("p{}", number % 40), 10_000, 100);
-        let chosen = book.choose(&wanted, &records, at(now)).expect("one");
-        (request, chosen)
-    };
-    // Six of nine crash at the same time.
-    let is_crashed = |engine: &TargetId| {
-        let crashed = &records[..6];
-        crashed.iter().any(|record| record.id == *engine)
-    };
-    let mut refused = 0;
-    for now in 0..600 {
-        let (request, chosen) = choose(&mut book, now);
-        let step = if is_crashed(&chosen) {
-            refused += 1;
-            PromptStep::Gone
-        } else {
-            PromptStep::Read
-        };
-        tell(&mut book, &request, step, now);
-        if step == PromptStep::Read {
-            tell(&mut book, &request, PromptStep::Ended, now);
-        }
-    }
-    assert_eq!(refused, 6, "each is tried once");
-}
-
-#[test]
-fn engine_that_failed_is_tried_again_though_its_streams_go_on() {
-    let records = engines(2);
-    let mut book = EngineBook::new(MEMORY);
-    let wanted = |request: &str| ask(request, "p", 10_000, 100);
-    let first = book.choose(&wanted("long"), &records, at(0)).expect("one");
-    // Its stream lasts for seconds; two others fail.
-    tell(&mut book, "long", PromptStep::Read, 100);
-    for request in ["a", "b"] {
-        assert_eq!(
-            book.choose(&wanted(request), &records, at(100)),
-            Some(first.clone())
-        );
-        tell(&mut book, request, PromptStep::Failed, 100);
-    }
-    let other = book.choose(&wanted("c"), &records, at(200));
-    assert_ne!(other, Some(first.clone()));
-    tell(&mut book, "c", PromptStep::Read, 300);
-    tell(&mut book, "c", PromptStep::Ended, 400);
-    let again = book.choose(&wanted("d"), &records, at(1_000));
-    assert_eq!(again, Some(first), "0.7 seconds are over");
-}
-
-#[test]
-fn news_of_the_engine_that_a_request_has_left_does_not_count_for_its_next_one() {
-    let records = engines(ENGINES);
-    let mut book = EngineBook::new(MEMORY);
-    let is_crashed = |engine: &TargetId| records[..2].iter().any(|record| record.id == *engine);
-    // Two of nine crash. Their requests go on at once, and what is told of them
-    // comes a moment after their next choice.
-    let mut late: Vec<(u64, PromptNews)> = Vec::new();
-    let mut taken = vec![0; ENGINES];
-    let mut refused = 0;
-    for now in 0..2_000 {
-        late.retain(|(due, news)| {
-            if *due <= now {
-                book.note(news, at(now));
-            }
-            *due > now
-        });
-        if now % 10 != 0 {
-            continue;
-        }
-        let request = format!("r{now}");
-        let mut wanted = ask(&request, &format!("p{}", now % 400), 10_000, 100);
-        let mut chosen = book.choose(&wanted, &records, at(now)).expect("one");
-        while is_crashed(&chosen) {
-            refused += 1;
-            late.push((now + 10, news(&request, &chosen, PromptStep::Gone)));
-            wanted.avoid.push(chosen);
-            chosen = book.choose(&wanted, &records, at(now)).expect("one");
-        }
-        let place = records.iter().position(|record| record.id == chosen);
-        taken[place.expect("one of them")] += 1;
-        late.push((now + 100, news(&request, &chosen, PromptStep::Read)));
-        late.push((now + 500, news(&request, &chosen, PromptStep::Ended)));
-    }
-    // At first, and after 0.7 and 1.4 seconds more.
-    assert!(refused <= 6, "{refused} requests went to the crashed ones");
-    // Each of the others gets half of its share at least.
-    assert!(taken[2..].iter().all(|count| *count >= 14), "{taken:?}");
-}
-
 #[test]
 fn results_draw_a_prompt_to_their_zone_by_what_their_way_costs() {
     let records = engines(ENGINES);
@@ -512,86 +253,3 @@
     assert_eq!(away, 0);
     assert!(tokens <= 4 * 40 * 350, "read once in each zone: {tokens}");
 }
-
-#[test]
-fn prompts_that_come_together_are_read_once_by_one_engine() {
-    let records = engines(ENGINES);
-    let mut book = EngineBook::new(MEMORY);
-    let mut rng = Rng::with_seed(3);
-    // A burst in which 200 requests share 20 long prompts and come 2 ms apart.
-    // An engine reads each prompt that is sent to it, unless it has read it.
-    let mut free_at = [0; ENGINES];
-    let mut sent: Vec<(u64, String, TargetId)> = Vec::new();
-    let mut waiting: Vec<(String, String)> = Vec::new();
-    let mut read: Vec<(usize, String)> = Vec::new();
-    let mut twice = 0;
-    let mut done = 0;
-    let mut now = 0;
-    while done < 200 {
-        sent.retain(|(due, request, engine)| {
-            if *due <= now {
-                let prompt = request.split('-').next().expect("a prompt").to_owned();
-                let place = records.iter().position(|record| record.id == *engine);
-                read.push((place.expect("one of them"), prompt));
-                book.note(&news(request, engine, PromptStep::Read), at(now));
-                done += 1;
-            }
-            *due > now
-        });
-        let mut ready: Vec<String> = Vec::new();
-        waiting.retain(|(request, reader)| {
-            let waits = book.is_reading(reader);
-            if !waits {
-                ready.push(request.clone());
-            }
-            waits
-        });
-        if now % 2 == 0 && now < 400 {
-            let prompt = format!("p{}", rng.u32(0..20));
-            let request = format!("{prompt}-{now}");
-            book.choose(&ask(&request, &prompt, 12_000, 400), &records, at(now));
-            match book.reader_for(&request) {
-                Some(reader) => waiting.push((request.clone(), reader.to_owned())),
-                None => ready.push(request),
-            }
-        }
-        for request in ready {
-            let prompt = request.split('-').next().expect("a prompt").to_owned();
-            let engine = book.engine_of(&request).expect("a place").clone();
-            let place = records.iter().position(|record| record.id == engine);
-            let place = place.expect("one of them");
-            let is_held = read.contains(&(place, prompt.clone()));
-            let others = sent.iter();
-            let mut others = others.filter(|(_, other, at)| {
-                *at == engine && other.split('-').next() == Some(prompt.as_str())
-            });
-            if !is_held && others.next().is_some() {
-                twice += 1;
-            }
-            let tokens = if is_held { 400 } else { 12_400 };
-            free_at[place] = now.max(free_at[place]) + tokens / 100;
-            sent.push((free_at[place], request, engine));
-        }
-        now += 1;
-    }
-    assert_eq!(twice, 0, "prompts sent to an engine that was reading them");
-}
-
-#[test]
-fn prompt_whose_reading_has_failed_is_neither_held_nor_waited_for() {
-    let records = engines(1);
-    let mut book = EngineBook::new(MEMORY);
-    let wanted = |request: &str| ask(request, "p", 10_000, 100);
-    book.choose(&wanted("r1"), &records, at(0));
-    book.choose(&wanted("r2"), &records, at(0));
-    assert_eq!(book.reader_for("r2"), Some("r1"));
-    tell(&mut book, "r1", PromptStep::Failed, 10);
-    assert!(!book.is_reading("r1"));
-    book.choose(&wanted("r2"), &records, at(20));
-    assert_eq!(book.reader_for("r2"), None);
-    assert_eq!(book.pending(&records[0].id).get(), 10_100, "it reads all");
-    tell(&mut book, "r2", PromptStep::Read, 120);
-    book.choose(&wanted("r3"), &records, at(130));
-    assert_eq!(book.reader_for("r3"), None, "it is held");
-    assert_eq!(book.pending(&records[0].id).get(), 100);
-}
