--- a/crates/core/tests/engine_health.rs
+++ b/crates/core/tests/engine_health.rs
@@ -40,15 +40,17 @@
         if chosen == first {
             refused += 1;
         }
-        if let Some(earlier) = number.checked_sub(5).filter(|earlier| *earlier > 0) {
-            let request = format!("r{earlier}");
-            // Those at other engines are read by then.
-            let step = if book.engine_of(&request) == Some(&first) {
-                PromptStep::Gone
-            } else {
-                PromptStep::Read
-            };
-            tell(&mut book, &request, step, number * 20);
+        // Others have much to read, so one that has nothing would draw them all.
+        let told = |ago: u64| number.checked_sub(ago).filter(|earlier| *earlier > 0);
+        let at_first = told(5).map(|earlier| format!("r{earlier}"));
+        let at_first = at_first.filter(|request| book.engine_of(request) == Some(&first));
+        if let Some(request) = at_first {
+            tell(&mut book, &request, PromptStep::Gone, number * 20);
+        }
+        let at_others = told(40).map(|earlier| format!("r{earlier}"));
+        let at_others = at_others.filter(|request| book.engine_of(request).is_some());
+        if let Some(request) = at_others {
+            tell(&mut book, &request, PromptStep::Read, number * 20);
         }
     }
     assert!((1..=8).contains(&refused), "{refused} tries in ten seconds");
