Log and count what targets say of their limits

The nodes' output could not tell whether a limit was unknown, kept by each node alone, or passed by on one path. Now the limit in a response is decoded and kept by run of the target; its changes, and each call to a target that has named one (purpose, limit, age), are logged and counted. No decision uses it yet.

--- /dev/null
+++ b/crates/core/tests/target_limits.rs
@@ -0,0 +1,81 @@
+//! Limits on the rate of requests that targets name in responses.
+
+use std::sync::Arc;
+
+use verbenahub_core::{
+    clock::ClockTime,
+    ids::{EraNumber, PoolName, StoreRevision, TargetId, ZoneName},
+    targets::{RequestLimit, TargetLimits, TargetRecord, TargetState},
+};
+
+fn at(millis: u64) -> ClockTime {
+    ClockTime::from_millis(millis)
+}
+
+fn limit(text: &str) -> RequestLimit {
+    text.parse().expect("a valid limit")
+}
+
+fn record(id: &str, started_at: Option<u64>) -> Arc<TargetRecord> {
+    Arc::new(TargetRecord {
+        id: TargetId::new(id).expect("a valid target identifier"),
+        service: PoolName::new("pool").expect("a valid pool name"),
+        address: "10.0.0.1:80".parse().expect("a valid address"),
+        zone: ZoneName::new("z1").expect("a valid zone name"),
+        slots: 8,
+        state: TargetState::Ready,
+        started_at,
+        revision: StoreRevision::new(EraNumber::ZERO, 1),
+    })
+}
+
+#[test]
+fn limit_is_a_plain_decimal_number() {
+    for (text, rate) in [
+        ("1.7", Some(1.7)),
+        (" 12 ", Some(12.0)),
+        (".5", Some(0.5)),
+        ("0", Some(0.0)),
+        ("-1", None),
+        ("1e9", None),
+        ("inf", None),
+        ("NaN", None),
+        ("1.2.3", None),
+        ("1,5", None),
+        ("", None),
+        ("many", None),
+    ] {
+        let parsed = text.parse::<RequestLimit>().ok();
+        let parsed = parsed.map(|limit| limit.rate().as_per_second());
+        assert_eq!(parsed, rate, "{text:?}");
+    }
+}
+
+#[test]
+fn limit_concerns_one_run_of_a_target() {
+    let mut limits = TargetLimits::default();
+    let (run, later) = (record("t1", Some(1)), record("t1", Some(2)));
+    assert!(limits.record_named(&run, limit("2"), at(100)));
+    assert!(!limits.record_named(&run, limit("2"), at(200)));
+    assert!(limits.record_named(&run, limit("3"), at(300)));
+    let known = limits.limit_of(&run, at(350));
+    assert_eq!(
+        known.map(|(limit, age)| (limit, age.as_millis())),
+        Some((limit("3"), 50))
+    );
+    assert_eq!(limits.limit_of(&later, at(350)), None);
+    assert_eq!(limits.limited_count(), 1);
+}
+
+#[test]
+fn response_to_an_earlier_request_does_not_withdraw_a_limit() {
+    let mut limits = TargetLimits::default();
+    let run = record("t1", Some(1));
+    assert!(!limits.record_unnamed(&run, at(50), at(60)));
+    limits.record_named(&run, limit("2"), at(100));
+    assert!(!limits.record_unnamed(&run, at(90), at(120)));
+    assert!(limits.limit_of(&run, at(130)).is_some());
+    assert!(limits.record_unnamed(&run, at(130), at(150)));
+    assert_eq!(limits.limit_of(&run, at(160)), None);
+    assert!(!limits.record_unnamed(&run, at(170), at(180)));
+}
--- a/crates/gateway/src/front/target_sender.rs
+++ b/crates/gateway/src/front/target_sender.rs
@@ -18,7 +18,7 @@
     engines::EngineAssignment,
     process::Shared,
     staging::StageOutput,
-    targets::{SendError, TargetCall, TargetExchange, within},
+    targets::{CallPurpose, SendError, TargetCall, TargetExchange, within},
 };
 
 /// Status of a target that is not the one named in the request.
@@ -208,6 +208,7 @@
             headers: forward_headers(request, record, left, extras),
             body: has_body(request).then_some(&request.body),
             request: Some(&request.id),
+            purpose: CallPurpose::Request,
             head_timeout: self.head_timeout(left),
         };
         self.history.record_send(record.id.clone());
--- a/crates/gateway/src/process/gateway_metrics.rs
+++ b/crates/gateway/src/process/gateway_metrics.rs
@@ -25,6 +25,11 @@
     pub first_event_seconds: HistogramVec,
     /// Attempts at targets, by service and result.
     pub attempts: IntCounterVec,
+    /// Requests sent to targets that had named a limit, by service and purpose of the
+    /// request.
+    pub limited_sends: IntCounterVec,
+    /// Targets that have named a limit.
+    pub limited_targets: IntGauge,
     /// Connections opened to targets.
     pub target_connections: IntCounter,
     /// Seconds from the offer of a set of pieces to its results, by service.
@@ -83,6 +88,17 @@
                 "Attempts at targets",
                 &["service", "end"],
             )?,
+            limited_sends: counters(
+                registry_ref,
+                "limited_sends",
+                "Requests sent to targets that had named a limit",
+                &["service", "purpose"],
+            )?,
+            limited_targets: gauge(
+                registry_ref,
+                "limited_targets",
+                "Targets that have named a limit",
+            )?,
             target_connections: register(
                 registry_ref,
                 IntCounter::new(
--- a/crates/gateway/src/process/gateway_state.rs
+++ b/crates/gateway/src/process/gateway_state.rs
@@ -17,7 +17,8 @@
     routes::{FirstAttemptEstimator, RouteConfig, RouteSpec},
     settings::GatewayProfile,
     targets::{
-        LeavingNotice, LeavingTargets, StoreConnectivity, TargetLoads, TargetRecord, TargetRegistry,
+        LeavingNotice, LeavingTargets, RequestLimit, StoreConnectivity, TargetLimits, TargetLoads,
+        TargetRecord, TargetRegistry,
     },
 };
 
@@ -56,6 +57,8 @@
     pub registry: RefCell<TargetRegistry>,
     /// Targets that have announced in a response that they are leaving.
     pub leaving: RefCell<LeavingTargets>,
+    /// Limits on requests that targets have named in responses.
+    pub limits: RefCell<TargetLimits>,
     /// Load and health of targets.
     pub loads: RefCell<TargetLoads>,
     /// Other gateways.
@@ -131,6 +134,7 @@
             config: RefCell::default(),
             registry: RefCell::default(),
             leaving: RefCell::default(),
+            limits: RefCell::default(),
             loads: RefCell::default(),
             change_count: Cell::new(0),
             changed: Event::new(),
@@ -204,6 +208,10 @@
         self.loads
             .borrow_mut()
             .retain(|id| registry.get(id).is_some());
+        self.limits
+            .borrow_mut()
+            .retain(|id| registry.get(id).is_some());
+        self.update_limited_targets();
         self.fleet.borrow_mut().set_active(self.is_ready());
         self.change_count.set(self.change_count.get() + 1);
         self.changed.notify(usize::MAX);
@@ -238,6 +246,36 @@
         staying.map(Arc::clone).collect()
     }
 
+    /// Records what a response says about the limit of its target: `named` is the
+    /// limit that it names, if any, and `sent_at` the time at which the request was
+    /// sent.
+    pub fn record_limit(
+        &self,
+        record: &TargetRecord,
+        named: Option<RequestLimit>,
+        sent_at: ClockTime,
+    ) {
+        let now = self.now();
+        let mut limits = self.limits.borrow_mut();
+        let is_changed = match named {
+            Some(limit) => limits.record_named(record, limit, now),
+            None => limits.record_unnamed(record, sent_at, now),
+        };
+        drop(limits);
+        if is_changed {
+            slog::info!(self.log, "targets: Limit changed.";
+                "target" => %record.id, "service" => %record.service,
+                "limit" => named.map(|limit| limit.to_string()), "source" => "answer");
+            self.update_limited_targets();
+        }
+    }
+
+    fn update_limited_targets(&self) {
+        let count = self.limits.borrow().limited_count();
+        let count = i64::try_from(count).unwrap_or(i64::MAX);
+        self.metrics.limited_targets.set(count);
+    }
+
     /// Records that a target has announced that it is leaving. It gets no new
     /// requests, whatever its state in the store.
     pub fn record_leaving(&self, record: &TargetRecord) {
--- a/crates/gateway/src/staging/result_releaser.rs
+++ b/crates/gateway/src/staging/result_releaser.rs
@@ -14,7 +14,7 @@
     http::HeaderList,
     peers::{FREE_PATH, PeerAck},
     process::Shared,
-    targets::{SendError, TargetCall, TargetExchange, within},
+    targets::{CallPurpose, SendError, TargetCall, TargetExchange, within},
 };
 
 /// Time for which names of results are batched before they are sent on. Short
@@ -144,6 +144,7 @@
             headers: fields,
             body: Some(&body),
             request: None,
+            purpose: CallPurpose::Free,
             head_timeout: ANSWER_TIMEOUT,
         };
         let sent = async {
--- a/crates/gateway/src/staging/stage_call_run.rs
+++ b/crates/gateway/src/staging/stage_call_run.rs
@@ -13,7 +13,7 @@
 use crate::{
     http::HeaderList,
     process::Shared,
-    targets::{SendError, TargetCall, TargetExchange, within},
+    targets::{CallPurpose, SendError, TargetCall, TargetExchange, within},
 };
 
 /// Runs one planned call to a target of a stage and reports its end to the queue.
@@ -110,6 +110,7 @@
             headers: fields,
             body: Some(&body),
             request: None,
+            purpose: CallPurpose::Stage,
             head_timeout: self.call.timeout,
         };
         let begun = shared.now();
--- a/crates/gateway/src/targets/mod.rs
+++ b/crates/gateway/src/targets/mod.rs
@@ -1,5 +1,6 @@
 //! Connections to targets, and calls over them.
 
+mod call_purpose;
 mod connection_pool;
 mod memory_reservation;
 mod response_memory;
@@ -8,6 +9,7 @@
 mod wait_limit;
 
 pub use self::{
+    call_purpose::CallPurpose,
     connection_pool::ConnectionPool,
     memory_reservation::MemoryReservation,
     response_memory::ResponseMemory,
--- a/crates/gateway/src/targets/target_exchange.rs
+++ b/crates/gateway/src/targets/target_exchange.rs
@@ -1,14 +1,14 @@
-use std::{io::ErrorKind, sync::Arc};
+use std::{io::ErrorKind, ops::Range, sync::Arc};
 
 use bytes::{Bytes, BytesMut};
 use verbenahub_core::{
-    clock::TimeSpan,
+    clock::{ClockTime, TimeSpan},
     policy::health::CallOutcome,
-    targets::{LoadReport, RetryAfter, TargetRecord},
+    targets::{LoadReport, RequestLimit, RetryAfter, TargetRecord},
 };
 use verbenahub_platform::headers;
 
-use super::{SendError, within};
+use super::{CallPurpose, SendError, within};
 use crate::{
     http::{
         BodyError, BodyFraming, BodyReader, HeadError, HeaderList, HttpStream, RequestHead,
@@ -25,6 +25,10 @@
 const MAX_STRAY_RESPONSES: usize = 3;
 /// Status of a target that refuses a request temporarily.
 const SERVICE_UNAVAILABLE: u16 = 503;
+/// Status of a target that is not the one named in the request.
+const MISDIRECTED: u16 = 421;
+/// Statuses of requests that were processed.
+const SUCCESS: Range<u16> = 200..300;
 /// Maximum size of a response body that is buffered completely.
 const MAX_RESPONSE_BODY_BYTES: usize = 8 << 20;
 
@@ -42,6 +46,8 @@
     /// Identifier of the request. A response that echoes a different identifier
     /// belongs to another call.
     pub request: Option<&'a str>,
+    /// What the call is for.
+    pub purpose: CallPurpose,
     /// Timeout for the head of the response.
     pub head_timeout: TimeSpan,
 }
@@ -101,6 +107,8 @@
         call: TargetCall<'_>,
     ) -> Result<Self, SendError> {
         let mut in_flight = InFlightCall::begin(shared, record);
+        let (purpose, sent_at) = (call.purpose, shared.now());
+        log_limited_send(shared, record, &call);
         let result = Self::open(shared, record, call).await;
         match result {
             Ok((stream, head, framing)) => {
@@ -109,6 +117,7 @@
                     shared.record_leaving(record);
                 }
                 record_retry_after(shared, record, &head);
+                record_limit(shared, record, &head, purpose, sent_at);
                 in_flight.outcome = CallOutcome::Failed;
                 Ok(Self {
                     head,
@@ -303,6 +312,44 @@
     }
 }
 
+/// Logs and counts a call to a target that has named a limit.
+fn log_limited_send(shared: &Shared, record: &TargetRecord, call: &TargetCall<'_>) {
+    let limited = shared.limits.borrow().limit_of(record, shared.now());
+    let Some((limit, age)) = limited else {
+        return;
+    };
+    let purpose = call.purpose.label();
+    let sends = &shared.metrics.limited_sends;
+    sends
+        .with_label_values(&[record.service.as_str(), purpose])
+        .inc();
+    slog::info!(shared.log, "targets: Sent to a limited target.";
+        "target" => %record.id, "service" => %record.service, "purpose" => purpose,
+        "request" => call.request.map(str::to_owned), "limit" => %limit, "limit_age" => %age);
+}
+
+/// Records the limit that a response names. Only complete work shows that a limit
+/// no longer applies: a refusal may come from something in front of the target,
+/// and one with 421 comes from another target at the same address.
+fn record_limit(
+    shared: &Shared,
+    record: &TargetRecord,
+    head: &ResponseHead,
+    purpose: CallPurpose,
+    sent_at: ClockTime,
+) {
+    if head.status == MISDIRECTED {
+        return;
+    }
+    let named = head.headers.text(headers::LIMIT);
+    match named.map(str::parse::<RequestLimit>).transpose() {
+        Ok(None) if purpose == CallPurpose::Free || !SUCCESS.contains(&head.status) => {}
+        Ok(limit) => shared.record_limit(record, limit, sent_at),
+        Err(error) => slog::warn!(shared.log, "targets: Limit not usable.";
+            "target" => %record.id, "error" => %error),
+    }
+}
+
 /// Whether the value of a boolean header is true.
 fn is_flag_set(text: &str) -> bool {
     text.trim() == "1"
