--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -155,6 +155,16 @@
         });
     }
 
+    /// Value of a metric without labels, named without its prefix.
+    pub fn metric(&self, name: &str) -> Option<f64> {
+        let request = "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n";
+        let text = RawResponse::fetch(self.metrics_address, request).text();
+        let prefix = format!("verbenahub_gateway_{name} ");
+        let mut lines = text.lines();
+        let value = lines.find_map(|line| line.strip_prefix(&prefix))?;
+        value.parse().ok()
+    }
+
     /// Whether the gateway's readiness check succeeds.
     pub fn is_ready(&self) -> bool {
         let response = RawResponse::fetch(
--- a/crates/gateway/tests/target_notices.rs
+++ b/crates/gateway/tests/target_notices.rs
@@ -9,28 +9,10 @@
     EngineTarget, PlainTarget, RawCall, RawReply, RunLog, StoreFault, StoreServer,
 };
 
-const LEAVING_HEADER: &str = "Server-Leaving: 1\r\n";
-
-/// Adds a header line to an answer.
-fn with_header_line(reply: RawReply, line: &str) -> RawReply {
-    use verbenahub_platform_standin::ReplyStep;
-    let parts = reply.steps.into_iter().enumerate();
-    let parts = parts.map(|(index, part)| match part {
-        ReplyStep::Send(bytes) if index == 0 => {
-            let end = bytes.windows(2).position(|pair| pair == b"\r\n");
-            let (status_line, rest) = bytes.split_at(end.expect("a first line") + 2);
-            ReplyStep::Send([status_line, line.as_bytes(), rest].concat())
-        }
-        part => part,
-    });
-    RawReply {
-        steps: parts.collect(),
-    }
-}
+const LEAVING_HEADER: &str = "Server-Leaving";
 
 fn refusal_with_retry_after(retry_after: &str) -> RawReply {
-    let line = format!("Retry-After: {retry_after}\r\n");
-    with_header_line(PlainTarget::refusal(), &line)
+    PlainTarget::refusal().with_header("Retry-After", retry_after)
 }
 
 /// Targets of one service. The first, `t0`, answers by a given function, the others
@@ -86,7 +68,7 @@
 }
 
 fn leaving_answer(call: &RawCall) -> RawReply {
-    with_header_line(PlainTarget::signed(call, "200 OK", b"done"), LEAVING_HEADER)
+    PlainTarget::signed(call, "200 OK", b"done").with_header(LEAVING_HEADER, "1")
 }
 
 /// Sends requests until the first target has run one.
@@ -120,7 +102,7 @@
 fn stream_that_says_its_engine_leaves_completes_and_is_the_last_one_there() {
     let fixture = NoticeFixture::start("pool", 2, |call: &RawCall| {
         let stream = EngineTarget::stream(call, 3, std::time::Duration::from_millis(50));
-        with_header_line(stream, LEAVING_HEADER).last_chunk()
+        stream.with_header(LEAVING_HEADER, "1").last_chunk()
     });
     let gateway = fixture.gateway("n1", 2);
     send_until_first_runs(&fixture, &gateway, "/tell/a");
