--- a/crates/core/src/fleet/fleet_table.rs
+++ b/crates/core/src/fleet/fleet_table.rs
@@ -6,6 +6,7 @@
 use crate::{
     clock::{ClockTime, TimeSpan},
     ids::NodeId,
+    policy::numbers,
 };
 
 /// Time without a new heartbeat after which a member no longer owns shared
@@ -22,6 +23,13 @@
 /// fleet, even if all nodes started together. At the interval of a starting node
 /// (`FAST_INTERVAL` of the gossip schedule, 200 ms) they take three seconds.
 const ESTABLISHED_ROUNDS: u64 = 15;
+/// Number of members that a node assumes at least when it divides a limit and may
+/// not have met all of them.
+const MIN_ASSUMED_MEMBERS: usize = 12;
+/// Part of its share of a limit that a node uses while others may use it too.
+const PARTITION_SHARE: f64 = 0.5;
+/// Share of the known members above which those in contact are the larger part.
+const MAJORITY: f64 = 0.5;
 /// Time without a new heartbeat after which a member is removed from the table.
 const MEMBER_RETENTION: TimeSpan = TimeSpan::from_secs(60);
 
@@ -154,6 +162,38 @@
         self.own.active && others.any(is_established)
     }
 
+    /// Returns the share of a limit of the whole fleet that this node may grant as
+    /// its owner. All of it if the node is in contact with most of the members that
+    /// it knows, and else half of their share: of the parts of a partitioned fleet
+    /// one at most is that large, so together they grant one and a quarter of the
+    /// limit at most. A node that has just started takes the fleet for larger than
+    /// the members that it has met.
+    #[must_use]
+    pub fn grant_share(&self, now: ClockTime) -> f64 {
+        let live = numbers::count(self.live_count(now));
+        let known = self.others.len() + 1;
+        let is_established =
+            self.own.heartbeat >= ESTABLISHED_ROUNDS || self.knows_established_member();
+        if !is_established {
+            return live / numbers::count(known.max(MIN_ASSUMED_MEMBERS));
+        }
+        let share = live / numbers::count(known);
+        if share > MAJORITY {
+            1.0
+        } else {
+            share * PARTITION_SHARE
+        }
+    }
+
+    /// Returns the share of a limit of the whole fleet that each node may use
+    /// without asking the owner, while that does not answer. The owner may still
+    /// grant all of it to others.
+    #[must_use]
+    pub fn equal_share(&self) -> f64 {
+        let known = self.others.len() + 1;
+        PARTITION_SHARE / numbers::count(known.max(MIN_ASSUMED_MEMBERS))
+    }
+
     /// Returns the number of nodes whose heartbeat has not timed out, this one
     /// included.
     #[must_use]
--- a/crates/core/src/staging/call_end.rs
+++ b/crates/core/src/staging/call_end.rs
@@ -11,6 +11,11 @@
         /// Time for which the target accepts no calls, if it gave one.
         closed_for: Option<TimeSpan>,
     },
+    /// The call was not sent, since it would have exceeded the target's limit.
+    OverLimit {
+        /// Time after which the target may be called again.
+        retry_after: TimeSpan,
+    },
     /// The call failed or timed out. Its pieces may have been produced.
     Failed,
 }
--- a/crates/core/src/staging/mod.rs
+++ b/crates/core/src/staging/mod.rs
@@ -25,6 +25,7 @@
 mod stage_queue;
 mod stage_refusal;
 mod stage_set;
+mod target_pace;
 
 pub use self::{
     call_end::CallEnd,
@@ -39,4 +40,5 @@
     stage_queue::StageQueue,
     stage_refusal::StageRefusal,
     stage_set::{SetNumber, StageSet},
+    target_pace::TargetPace,
 };
--- a/crates/core/src/staging/queue_ends.rs
+++ b/crates/core/src/staging/queue_ends.rs
@@ -43,7 +43,7 @@
                 }
                 done
             }
-            CallEnd::Refused { .. } => {
+            CallEnd::Refused { .. } | CallEnd::OverLimit { .. } => {
                 for piece in call.pieces {
                     self.requeue(piece);
                 }
@@ -174,6 +174,7 @@
                 let pause = FIRST_REFUSAL_PAUSE * (1 << doublings);
                 target.paused_until = now + closed_for.unwrap_or_default().max(pause);
             }
+            CallEnd::OverLimit { retry_after } => target.paused_until = now + *retry_after,
             CallEnd::Failed => {
                 let doublings = target.failures.min(8);
                 target.failures += 1;
--- a/crates/core/src/staging/queue_order.rs
+++ b/crates/core/src/staging/queue_order.rs
@@ -68,7 +68,7 @@
         let any_fast = self
             .targets
             .values()
-            .any(|target| target.listed && !target.is_slow() && target.paused_until <= now);
+            .any(|target| target.listed && !target.is_slow() && target.open_at() <= now);
         let candidates = self.targets.iter().filter(|(_, target)| {
             let is_acceptable = !target.is_slow() || !any_fast || waiting > self.service.batch;
             let has_room = self.room_left(target) >= set.set.piece_bytes;
@@ -228,15 +228,15 @@
     }
 
     /// Number of calls that the available targets can run at the same time. A
-    /// slow target counts for less, in proportion to its slowdown.
+    /// slow target counts for less, in proportion to its slowdown, and one with a
+    /// limit as far as the limit allows calls.
     pub(super) fn available_slots(&self, now: ClockTime) -> f64 {
+        let call_ms = self.service.call_time(self.service.batch);
         let available = self
             .targets
             .values()
             .filter(|target| target.listed && target.paused_until <= now);
-        available
-            .map(|target| f64::from(target.slots) / target.slowdown.max(1.0))
-            .sum()
+        available.map(|target| target.usable_slots(call_ms)).sum()
     }
 }
 
--- a/crates/core/src/staging/shard_map.rs
+++ b/crates/core/src/staging/shard_map.rs
@@ -90,6 +90,14 @@
         self.owners.get(owner_index)
     }
 
+    /// Owner of a target.
+    #[must_use]
+    pub fn owner_of_target(&self, target: &TargetId) -> Option<&NodeId> {
+        let mut targets = self.targets.iter();
+        let (_, _, owner_index) = targets.find(|(id, _, _)| id == target)?;
+        self.owners.get(*owner_index)
+    }
+
     /// Targets that `node` owns.
     #[must_use]
     pub fn targets_of(&self, node: &NodeId) -> Vec<TargetId> {
--- a/crates/core/src/staging/stage_queue.rs
+++ b/crates/core/src/staging/stage_queue.rs
@@ -2,8 +2,9 @@
 
 use super::{
     CallNumber, QueueBacklog, SetEnd, SetFailure, SetNumber, StageCall, StageRefusal, StageSet,
-    held_results::HeldResults, late_throughput::LateThroughput, queue_target::QueueTarget,
-    queued_set::QueuedSet, recent_times::RecentTimes, running_call::RunningCall,
+    TargetPace, held_results::HeldResults, late_throughput::LateThroughput,
+    queue_target::QueueTarget, queued_set::QueuedSet, recent_times::RecentTimes,
+    running_call::RunningCall,
 };
 use crate::{
     clock::{ClockTime, TimeSpan},
@@ -110,6 +111,14 @@
             .retain(|_, target| target.listed || target.running > 0);
     }
 
+    /// Replaces the paces of the targets that have named limits. All others may be
+    /// called at any time.
+    pub fn set_paces(&mut self, paces: &BTreeMap<TargetId, TargetPace>) {
+        for (id, target) in &mut self.targets {
+            target.pace = paces.get(id).copied();
+        }
+    }
+
     /// Whether the queue may send new calls to a target.
     #[must_use]
     pub fn may_call(&self, target: &TargetId) -> bool {
@@ -301,9 +310,9 @@
             });
         }
         let paused = self.targets.values().filter(|target| {
-            target.listed && target.running < target.slots && target.paused_until > now
+            target.listed && target.running < target.slots && target.open_at() > now
         });
-        let next_resume = paused.map(|target| target.paused_until).min();
+        let next_resume = paused.map(QueueTarget::open_at).min();
         let next_deadline = self.sets.values().map(|set| set.set.deadline).min();
         let times = next_resume.into_iter().chain(next_deadline);
         times.chain(self.held.next_expiry()).min()
--- a/crates/core/src/targets/mod.rs
+++ b/crates/core/src/targets/mod.rs
@@ -3,11 +3,15 @@
 
 mod leaving_notice;
 mod leaving_targets;
+mod limit_notice;
 mod load_report;
+mod permit_decision;
+mod permit_ledger;
 mod registry_change;
 mod removed_run;
 mod request_limit;
 mod retry_after;
+mod send_pacer;
 mod store_connectivity;
 mod target_criteria;
 mod target_limits;
@@ -19,7 +23,10 @@
 pub use self::{
     leaving_notice::LeavingNotice,
     leaving_targets::LeavingTargets,
+    limit_notice::LimitNotice,
     load_report::LoadReport,
+    permit_decision::PermitDecision,
+    permit_ledger::PermitLedger,
     registry_change::RegistryChange,
     request_limit::{RequestLimit, RequestLimitError},
     retry_after::RetryAfter,
--- /dev/null
+++ b/crates/core/src/targets/permit_ledger.rs
@@ -0,0 +1,64 @@
+use std::collections::BTreeMap;
+
+use super::{PermitDecision, TargetRecord, send_pacer::SendPacer};
+use crate::{
+    clock::{ClockTime, TimeSpan},
+    ids::TargetId,
+    units::RateLimit,
+};
+
+/// Grants permits for requests to targets that have named limits.
+///
+/// Designed for this load pattern: a target under stress accepts a few requests a
+/// second from a fleet whose nodes could each send as many, demand exceeds the
+/// limit for as long as it lasts, and the node that grants the permits is
+/// replaced at any time. The permits for a target are granted by one node, so that
+/// they hold for the whole fleet and are not divided into parts too small to use.
+#[derive(Clone, Debug, Default)]
+pub struct PermitLedger {
+    pacers: BTreeMap<(TargetId, Option<u64>), SendPacer>,
+}
+
+impl PermitLedger {
+    /// Takes the next permit for a request to a target at `rate`, if it is available
+    /// within `patience`.
+    pub fn acquire(
+        &mut self,
+        record: &TargetRecord,
+        rate: RateLimit,
+        patience: TimeSpan,
+        now: ClockTime,
+    ) -> PermitDecision {
+        self.pacer(record, now).acquire(rate, patience, now)
+    }
+
+    /// Time until the next permit for a target is available.
+    pub fn wait(&mut self, record: &TargetRecord, rate: RateLimit, now: ClockTime) -> TimeSpan {
+        self.pacer(record, now).wait(rate, now)
+    }
+
+    /// Forgets the unused permits for a target, for which another node grants
+    /// permits from now on.
+    pub fn forget(&mut self, record: &TargetRecord) {
+        self.pacers.remove(&key(record));
+    }
+
+    /// Removes the targets that are unknown to `is_known`.
+    pub fn retain<Known>(&mut self, is_known: Known)
+    where
+        Known: Fn(&TargetId) -> bool,
+    {
+        self.pacers.retain(|(target, _), _| is_known(target));
+    }
+
+    fn pacer(&mut self, record: &TargetRecord, now: ClockTime) -> &mut SendPacer {
+        let pacers = &mut self.pacers;
+        pacers
+            .entry(key(record))
+            .or_insert_with(|| SendPacer::new(now))
+    }
+}
+
+fn key(record: &TargetRecord) -> (TargetId, Option<u64>) {
+    (record.id.clone(), record.started_at)
+}
--- a/crates/core/src/targets/target_limits.rs
+++ b/crates/core/src/targets/target_limits.rs
@@ -1,11 +1,21 @@
 use std::collections::BTreeMap;
 
-use super::{RequestLimit, TargetRecord};
+use super::{LimitNotice, RequestLimit, TargetRecord};
 use crate::{
     clock::{ClockTime, TimeSpan},
     ids::TargetId,
 };
 
+/// Time for which it is passed on that a limit was withdrawn. Nodes that still
+/// hold the limit hear of it within seconds.
+const WITHDRAWAL_LIFETIME: TimeSpan = TimeSpan::from_secs(60);
+/// Least difference in age by which a notice of the same limit counts as newer.
+/// Notices look newer by the time that they are on their way.
+const MIN_NEWS_AGE: TimeSpan = TimeSpan::from_millis(250);
+/// Largest number of runs that are kept, so that a faulty sender can't exhaust the
+/// memory.
+const MAX_STATEMENTS: usize = 4_096;
+
 /// Latest statement of one run of a target about its limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct LimitStatement {
@@ -65,6 +75,63 @@
         is_withdrawn
     }
 
+    /// Merges notices from another node. Of two statements of a run the later one
+    /// wins. Returns the notices that changed a limit.
+    pub fn merge(&mut self, notices: Vec<LimitNotice>, now: ClockTime) -> Vec<LimitNotice> {
+        let mut changes = Vec::new();
+        for notice in notices {
+            let key = (notice.target.clone(), notice.started_at);
+            let statement = LimitStatement {
+                limit: notice.limit,
+                made_at: now - notice.age,
+            };
+            let known = self.statements.get(&key).copied();
+            let is_newer = known.map_or(self.statements.len() < MAX_STATEMENTS, |known| {
+                let least = if known.limit == notice.limit {
+                    MIN_NEWS_AGE
+                } else {
+                    TimeSpan::ZERO
+                };
+                statement.made_at > known.made_at + least
+            });
+            if !is_newer {
+                continue;
+            }
+            self.statements.insert(key, statement);
+            if known.and_then(|known| known.limit) != notice.limit {
+                changes.push(notice);
+            }
+        }
+        changes
+    }
+
+    /// The latest statements, for other nodes.
+    #[must_use]
+    pub fn notices(&self, now: ClockTime) -> Vec<LimitNotice> {
+        let current = self.statements.iter().filter(|(_, statement)| {
+            statement.limit.is_some() || now.since(statement.made_at) < WITHDRAWAL_LIFETIME
+        });
+        let notices = current.map(|((target, started_at), statement)| LimitNotice {
+            target: target.clone(),
+            started_at: *started_at,
+            limit: statement.limit,
+            age: now.since(statement.made_at),
+        });
+        notices.collect()
+    }
+
+    /// The latest statement of the run that a record describes, for another node.
+    #[must_use]
+    pub fn notice_of(&self, record: &TargetRecord, now: ClockTime) -> Option<LimitNotice> {
+        let statement = self.statements.get(&key(record))?;
+        Some(LimitNotice {
+            target: record.id.clone(),
+            started_at: record.started_at,
+            limit: statement.limit,
+            age: now.since(statement.made_at),
+        })
+    }
+
     /// The limit of the run that a record describes, and the time since it was
     /// last named.
     #[must_use]
--- a/crates/core/src/targets/target_loads.rs
+++ b/crates/core/src/targets/target_loads.rs
@@ -56,6 +56,9 @@
     failure_rate: DecayedMean,
     /// Start time of the run that asked for a backoff, and the end of the backoff.
     backoff: Option<(Option<u64>, ClockTime)>,
+    /// Start time of the run whose limit is used up, and when the next permit for a
+    /// request is expected.
+    pace: Option<(Option<u64>, ClockTime)>,
 }
 
 impl TargetLoad {
@@ -125,13 +128,31 @@
         load.backoff = Some((record.started_at, until));
     }
 
-    /// Time until the end of a target's backoff; zero without one.
+    /// Records that a target's limit is used up: the target gets no requests until
+    /// `until`, when the next permit is expected.
+    pub fn set_pace(&mut self, record: &TargetRecord, until: ClockTime) {
+        let load = self.loads.entry(record.id.clone()).or_default();
+        load.pace = Some((record.started_at, until));
+    }
+
+    /// Ends the wait for a permit, because the target's limit has changed.
+    pub fn clear_pace(&mut self, target: &TargetId) {
+        if let Some(load) = self.loads.get_mut(target) {
+            load.pace = None;
+        }
+    }
+
+    /// Time until a target may get requests again: the end of its backoff or of the
+    /// wait for a permit, whichever is later. Zero if it may get them now.
     #[must_use]
     pub fn backoff_remaining(&self, record: &TargetRecord, now: ClockTime) -> TimeSpan {
-        let load = self.loads.get(&record.id);
-        let backoff = load.and_then(|load| load.backoff);
-        let backoff = backoff.filter(|(run, _)| *run == record.started_at);
-        backoff.map_or(TimeSpan::ZERO, |(_, until)| now.until(until))
+        let Some(load) = self.loads.get(&record.id) else {
+            return TimeSpan::ZERO;
+        };
+        let ends = load.backoff.into_iter().chain(load.pace);
+        let own = ends.filter(|(run, _)| *run == record.started_at);
+        let remaining = own.map(|(_, until)| now.until(until));
+        remaining.max().unwrap_or_default()
     }
 
     /// Time until the first backoff of the candidates ends, if all of them are in
--- a/crates/core/src/units/rate_limit.rs
+++ b/crates/core/src/units/rate_limit.rs
@@ -30,6 +30,12 @@
         }
     }
 
+    /// A share of the rate, from 0 to 1.
+    #[must_use]
+    pub fn scaled(self, share: f64) -> Self {
+        Self(self.0 * share.clamp(0.0, 1.0))
+    }
+
     /// The rate in events per second.
     #[must_use]
     pub const fn as_per_second(self) -> f64 {
--- /dev/null
+++ b/crates/core/tests/permit_simulation.rs
@@ -0,0 +1,289 @@
+//! Permits for a target with a limit, played in virtual time over a fleet: calm,
+//! with lost messages, with an owner that is lost again and again, and split.
+
+use std::{collections::VecDeque, sync::Arc};
+
+use fastrand::Rng;
+use verbenahub_core::{
+    clock::{ClockTime, TimeSpan},
+    fleet::{FleetMember, FleetTable},
+    ids::{EraNumber, IncarnationNumber, NodeId, PoolName, StoreRevision, TargetId, ZoneName},
+    targets::{PermitDecision, PermitLedger, TargetRecord, TargetState},
+    units::RateLimit,
+};
+
+/// Period over which the platform counts requests at a target.
+const WINDOW_MS: u64 = 4_000;
+/// Length of each run. Long against the window.
+const RUN_MS: u64 = 40_000;
+/// Time until nodes agree again after the owner has changed or a split has begun.
+const DETECTION_MS: u64 = 1_000;
+/// Rounds of gossip after which a node is established.
+const ESTABLISHED_ROUNDS: u64 = 20;
+
+/// What happens to the fleet during a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Trouble {
+    None,
+    /// One in ten questions to the owner gets no answer.
+    LostMessages,
+    /// The owner is replaced by another node every five seconds. Half of the nodes
+    /// notice a second late.
+    OwnerReplaced,
+    /// The owner stands still for two of every five seconds.
+    OwnerFrozen,
+    /// A third of the nodes can't reach the others from the tenth second on.
+    Split,
+}
+
+/// A node of the fleet: its view of the members, and the permits that it grants.
+struct Node {
+    fleet: FleetTable,
+    owned: PermitLedger,
+    share: PermitLedger,
+    closed_until: ClockTime,
+}
+
+struct Simulation {
+    nodes: Vec<Node>,
+    record: Arc<TargetRecord>,
+    limit: RateLimit,
+    trouble: Trouble,
+    rng: Rng,
+    sends: VecDeque<u64>,
+    most_in_window: usize,
+    total: usize,
+    questions: usize,
+}
+
+fn at(millis: u64) -> ClockTime {
+    ClockTime::from_millis(millis)
+}
+
+fn target() -> Arc<TargetRecord> {
+    Arc::new(TargetRecord {
+        id: TargetId::new("t1").expect("a valid target identifier"),
+        service: PoolName::new("pool").expect("a valid pool name"),
+        address: "10.0.0.1:80".parse().expect("a valid address"),
+        zone: ZoneName::new("z1").expect("a valid zone name"),
+        slots: 8,
+        state: TargetState::Ready,
+        started_at: Some(1),
+        revision: StoreRevision::new(EraNumber::ZERO, 1),
+    })
+}
+
+fn member(index: usize, heartbeat: u64) -> FleetMember {
+    FleetMember {
+        node: NodeId::new(&format!("n{index:04}")).expect("a valid node identifier"),
+        address: "10.0.0.2:80".parse().expect("a valid address"),
+        incarnation: IncarnationNumber::new(1),
+        heartbeat,
+        weight: 0.25,
+        active: true,
+    }
+}
+
+impl Simulation {
+    fn new(nodes: usize, limit: f64, trouble: Trouble, seed: u64) -> Self {
+        let members: Vec<_> = (0..nodes)
+            .map(|index| member(index, ESTABLISHED_ROUNDS))
+            .collect();
+        let nodes = members.iter().map(|own| {
+            let mut fleet = FleetTable::new(own.clone());
+            fleet.merge(members.clone(), ClockTime::ZERO);
+            Node {
+                fleet,
+                owned: PermitLedger::default(),
+                share: PermitLedger::default(),
+                closed_until: ClockTime::ZERO,
+            }
+        });
+        Self {
+            nodes: nodes.collect(),
+            record: target(),
+            limit: RateLimit::per_second(limit).expect("a valid rate"),
+            trouble,
+            rng: Rng::with_seed(seed),
+            sends: VecDeque::new(),
+            most_in_window: 0,
+            total: 0,
+            questions: 0,
+        }
+    }
+
+    /// Whether two nodes reach each other.
+    fn is_connected(&self, left: usize, right: usize, now: u64) -> bool {
+        let is_small_side = |node: usize| node < self.nodes.len() / 3;
+        let is_split = self.trouble == Trouble::Split && now >= 10_000;
+        !is_split || is_small_side(left) == is_small_side(right)
+    }
+
+    /// The owner in the view of a node.
+    fn owner(&self, node: usize, now: u64) -> usize {
+        let count = self.nodes.len();
+        match self.trouble {
+            Trouble::OwnerReplaced => {
+                let lag = if node.is_multiple_of(2) {
+                    0
+                } else {
+                    DETECTION_MS
+                };
+                let change = now.saturating_sub(lag) / 5_000;
+                usize::try_from(change).unwrap_or(0) % count
+            }
+            // Each side has an owner of its own once it has noticed the split.
+            Trouble::Split if now >= 10_000 + DETECTION_MS && node >= count / 3 => count / 3,
+            _ => 0,
+        }
+    }
+
+    /// Whether the owner answers a question of a node.
+    fn answers(&mut self, owner: usize, node: usize, now: u64) -> bool {
+        let is_lost = match self.trouble {
+            Trouble::LostMessages => self.rng.u8(..10) == 0,
+            Trouble::OwnerFrozen => now % 5_000 >= 3_000,
+            _ => false,
+        };
+        !is_lost && self.is_connected(owner, node, now)
+    }
+
+    /// Plays a request of a node.
+    fn request(&mut self, node: usize, now: u64) {
+        let time = at(now);
+        if self.nodes[node].closed_until > time {
+            return;
+        }
+        let owner = self.owner(node, now);
+        self.questions += usize::from(owner != node);
+        let patience = TimeSpan::ZERO;
+        let is_granted_by_owner = owner == node || self.answers(owner, node, now);
+        let is_owner = self.owner(owner, now) == owner;
+        if !is_owner {
+            let record = Arc::clone(&self.record);
+            self.nodes[owner].owned.forget(&record);
+        }
+        let decision = if is_granted_by_owner && is_owner {
+            let granting = &mut self.nodes[owner];
+            let rate = self.limit.scaled(granting.fleet.grant_share(time));
+            granting.owned.acquire(&self.record, rate, patience, time)
+        } else {
+            let asking = &mut self.nodes[node];
+            let rate = self.limit.scaled(asking.fleet.equal_share());
+            asking.share.acquire(&self.record, rate, patience, time)
+        };
+        match decision {
+            PermitDecision::Granted { .. } => self.record_send(now),
+            PermitDecision::Denied { retry_after } => {
+                self.nodes[node].closed_until = time + retry_after;
+            }
+        }
+    }
+
+    fn record_send(&mut self, now: u64) {
+        self.total += 1;
+        self.sends.push_back(now);
+        while self
+            .sends
+            .front()
+            .is_some_and(|first| first + WINDOW_MS <= now)
+        {
+            self.sends.pop_front();
+        }
+        self.most_in_window = self.most_in_window.max(self.sends.len());
+    }
+
+    /// Lets all nodes hear from the members that they reach.
+    fn gossip(&mut self, now: u64) {
+        let heartbeat = ESTABLISHED_ROUNDS + 1 + now;
+        for node in 0..self.nodes.len() {
+            let heard = (0..self.nodes.len())
+                .filter(|other| self.is_connected(node, *other, now))
+                .map(|other| member(other, heartbeat))
+                .collect();
+            self.nodes[node].fleet.merge(heard, at(now));
+        }
+    }
+
+    /// Plays a run with demand of twice the limit, spread over the nodes.
+    fn run(mut self) -> Self {
+        let chance = self.limit.as_per_second() * 2.0 / 1_000.0;
+        for now in 0..RUN_MS {
+            if now.is_multiple_of(1_000) && self.nodes.len() <= 300 {
+                self.gossip(now);
+            }
+            let mut demand = chance;
+            while demand > 0.0 {
+                if self.rng.f64() < demand {
+                    let node = self.rng.usize(..self.nodes.len());
+                    self.request(node, now);
+                }
+                demand -= 1.0;
+            }
+        }
+        self
+    }
+}
+
+/// Number of requests in a window that the platform's rule allows.
+fn allowed(limit: f64) -> f64 {
+    1.5 * limit * 4.0 + 5.0
+}
+
+#[allow(clippy::cast_precision_loss)] // Some thousand requests.
+fn number(count: usize) -> f64 {
+    count as f64
+}
+
+const TROUBLES: [Trouble; 5] = [
+    Trouble::None,
+    Trouble::LostMessages,
+    Trouble::OwnerReplaced,
+    Trouble::OwnerFrozen,
+    Trouble::Split,
+];
+
+#[test]
+fn target_gets_no_more_than_its_limit_allows_in_any_window() {
+    for nodes in [9, 60, 295] {
+        for limit in [0.3, 1.3, 20.0, 100.0] {
+            for trouble in TROUBLES {
+                let played = Simulation::new(nodes, limit, trouble, 7).run();
+                println!(
+                    "{nodes} nodes, limit {limit}, {trouble:?}: {} of {} in a window, {} in all",
+                    played.most_in_window,
+                    allowed(limit),
+                    played.total
+                );
+                assert!(
+                    number(played.most_in_window) <= allowed(limit),
+                    "{nodes} nodes, limit {limit}, {trouble:?}: {} requests in a window",
+                    played.most_in_window
+                );
+            }
+        }
+    }
+}
+
+#[test]
+fn nine_tenths_of_a_limit_are_used_while_demand_is_double() {
+    for nodes in [9, 60, 295] {
+        for limit in [1.3, 20.0] {
+            let played = Simulation::new(nodes, limit, Trouble::None, 11).run();
+            let seconds = 40.0;
+            assert!(
+                number(played.total) >= 0.9 * limit * seconds,
+                "{nodes} nodes, limit {limit}: {} requests",
+                played.total
+            );
+        }
+    }
+}
+
+#[test]
+fn owner_of_a_limit_is_asked_at_most_once_per_request_at_2000_nodes() {
+    let played = Simulation::new(2_000, 20.0, Trouble::None, 13).run();
+    assert!(number(played.most_in_window) <= allowed(20.0));
+    // Demand is 40 requests a second for 40 seconds.
+    assert!(played.questions <= 1_700, "{} questions", played.questions);
+}
--- a/crates/gateway/src/engines/engine_chooser.rs
+++ b/crates/gateway/src/engines/engine_chooser.rs
@@ -1,6 +1,8 @@
 use std::{
+    borrow::Cow,
     cell::RefCell,
     collections::{BTreeSet, HashMap},
+    sync::Arc,
 };
 
 use event_listener::Event;
@@ -9,6 +11,7 @@
     clock::TimeSpan,
     engines::{EngineQuery, PromptProgress, PromptScheduler},
     ids::{PoolName, TargetId},
+    targets::TargetRecord,
 };
 
 use crate::{process::Shared, targets::within};
@@ -75,16 +78,37 @@
                 candidates.retain(|record| owned.contains(&record.id));
             }
         }
+        let ask = Self::without_closed(shared, ask, &candidates);
         let mut books = self.books.borrow_mut();
         let book = books
             .entry(ask.service.clone())
             .or_insert_with(|| PromptScheduler::new(memory));
         book.set_cache_capacity(memory);
-        let engine = book.choose(ask, &candidates, now);
+        let engine = book.choose(&ask, &candidates, now);
         let reader = book.awaited_request(&ask.request).map(str::to_owned);
         EngineReply { engine, reader }
     }
 
+    /// Adds the engines to avoid whose limits are used up.
+    fn without_closed<'a>(
+        shared: &Shared,
+        ask: &'a EngineQuery,
+        candidates: &[Arc<TargetRecord>],
+    ) -> Cow<'a, EngineQuery> {
+        let is_closed = |record: &&Arc<TargetRecord>| {
+            let wait = shared.permits.owned_wait(shared, record);
+            wait.is_some_and(|(wait, _)| !wait.is_zero())
+        };
+        let closed = candidates.iter().filter(is_closed);
+        let closed: Vec<TargetId> = closed.map(|record| record.id.clone()).collect();
+        if closed.is_empty() {
+            return Cow::Borrowed(ask);
+        }
+        let mut ask = ask.clone();
+        ask.avoid.extend(closed);
+        Cow::Owned(ask)
+    }
+
     /// Waits until an engine has read a request's prompt, or never will, or the
     /// wait times out.
     pub async fn wait_until_read(&self, ask: &ReadWait) {
--- a/crates/gateway/src/front/target_sender.rs
+++ b/crates/gateway/src/front/target_sender.rs
@@ -18,13 +18,18 @@
     engines::EngineAssignment,
     process::Shared,
     staging::StageOutput,
-    targets::{CallPurpose, SendError, TargetCall, TargetExchange, within},
+    targets::{
+        CallPurpose, PermitDenied, PermitRequest, SendError, SendPermit, TargetCall,
+        TargetExchange, within,
+    },
 };
 
 /// Status of a target that is not the one named in the request.
 const MISDIRECTED: u16 = 421;
 /// Maximum number of tries per request, including targets that can't be reached.
 const MAX_TRIES: usize = 4;
+/// Maximum number of targets per request whose limits turn out to be used up.
+const MAX_DENIALS: usize = 4;
 /// Timeout for the body of a refusal. It arrives at once or isn't worth waiting
 /// for, since it is only read so that the connection can be reused.
 const REFUSAL_TIMEOUT: TimeSpan = TimeSpan::from_millis(100);
@@ -95,11 +100,18 @@
             && self.history.try_count() < MAX_TRIES
     }
 
-    /// Whether a stalled stream can be resumed now: another target accepts
-    /// requests and the budget for extra attempts is not used up. Otherwise the
-    /// stream is kept, since a slow stream is better than a broken one.
+    /// Whether a stalled stream can be resumed now: another target without a limit
+    /// accepts requests and the budget for extra attempts is not used up. Otherwise
+    /// the stream is kept, since a slow stream is better than a broken one.
     pub(super) fn can_resume(&self) -> bool {
-        self.may_resume() && self.shared.retry_budget.has_spare() && self.choose_locally().is_some()
+        if !self.may_resume() || !self.shared.retry_budget.has_spare() {
+            return false;
+        }
+        let mut candidates = self.shared.ready_targets(&self.request.service);
+        let (limits, now) = (self.shared.limits.borrow(), self.shared.now());
+        candidates.retain(|record| limits.limit_of(record, now).is_none());
+        let loads = self.shared.loads.borrow();
+        loads.choose(&candidates, &self.choice_ask()).is_some()
     }
 
     /// Whether another attempt is allowed. Takes it from the budget for extra
@@ -125,11 +137,20 @@
         &mut self,
         last_event: Option<&str>,
     ) -> Result<TargetExchange, GatewayResponse> {
+        let mut denials = 0;
         loop {
             let Some(record) = self.choose_target().await else {
-                return Err(self.failure_response("no_target"));
+                return Err(self.failure_response(self.no_target_code()));
+            };
+            let Ok(permit) = self.acquire_permit(&record).await else {
+                self.end_assignment(PromptStep::Ended);
+                denials += 1;
+                if denials >= MAX_DENIALS {
+                    return Err(self.failure_response("over_limit"));
+                }
+                continue;
             };
-            match self.attempt(&record, last_event).await {
+            match self.attempt(permit, last_event).await {
                 Ok(exchange) => {
                     let refused = exchange.head.headers.get(headers::NOT_RUN).is_some();
                     if !refused {
@@ -169,6 +190,18 @@
         }
     }
 
+    /// Error code of a request for which no target can be chosen.
+    fn no_target_code(&self) -> &'static str {
+        let candidates = self.shared.ready_targets(&self.request.service);
+        let (limits, now) = (self.shared.limits.borrow(), self.shared.now());
+        let mut candidates = candidates.iter();
+        if candidates.any(|record| limits.limit_of(record, now).is_some()) {
+            "over_limit"
+        } else {
+            "no_target"
+        }
+    }
+
     /// The gateway's own response to a request that is not sent any more.
     pub(super) fn failure_response(&self, code: &'static str) -> GatewayResponse {
         if let Some(proof) = self.history.prove_not_run() {
@@ -191,11 +224,48 @@
         least + TimeSpan::from_millis(self.shared.random() % (most_extra + 1))
     }
 
+    /// Obtains a permit to send the request to a target. If no other target is
+    /// usable, waits for one.
+    async fn acquire_permit(&self, record: &Arc<TargetRecord>) -> Result<SendPermit, PermitDenied> {
+        let permit = PermitRequest {
+            record,
+            purpose: CallPurpose::Request,
+            request: Some(&self.request.id),
+            patience: self.permit_patience(record),
+        };
+        self.shared.permits.acquire(self.shared, permit).await
+    }
+
+    /// Longest useful wait for a permit: zero while another target is usable, else
+    /// half of the time until the answer is due, so that the other half is left for
+    /// the target. A request whose stages are done is due at its deadline, since
+    /// their work would be lost with it.
+    fn permit_patience(&self, record: &Arc<TargetRecord>) -> TimeSpan {
+        let shared = self.shared;
+        let candidates = shared.ready_targets(&self.request.service);
+        let unusable = shared
+            .loads
+            .borrow()
+            .unusable(&candidates, &self.choice_ask());
+        let mut others = candidates.iter().filter(|other| other.id != record.id);
+        if others.any(|other| !unusable.contains(&other.id)) {
+            return TimeSpan::ZERO;
+        }
+        let due = if self.inputs.is_some() {
+            self.request.first_event_deadline()
+        } else {
+            self.request.goal_at()
+        };
+        let left = shared.now().until(due).as_millis();
+        TimeSpan::from_millis(left / 2)
+    }
+
     async fn attempt(
         &mut self,
-        record: &Arc<TargetRecord>,
+        permit: SendPermit,
         last_event: Option<&str>,
     ) -> Result<TargetExchange, SendError> {
+        let record = &Arc::clone(permit.record());
         let request = self.request;
         let left = request.time_left(self.shared.now());
         let extras = ForwardExtras {
@@ -216,7 +286,7 @@
             self.shared.retry_budget.earn();
         }
         let begun = self.shared.now();
-        let result = TargetExchange::begin(self.shared, record, call).await;
+        let result = TargetExchange::begin(self.shared, permit, call).await;
         let end = match &result {
             Ok(exchange) => exchange.head.status.to_string(),
             Err(error) => error.to_string(),
--- a/crates/gateway/src/peers/gossip_message.rs
+++ b/crates/gateway/src/peers/gossip_message.rs
@@ -4,7 +4,7 @@
     fleet::FleetMember,
     ids::StoreRevision,
     routes::{ConfigRank, RouteConfig},
-    targets::{LeavingNotice, RegistryChange, TargetRecord},
+    targets::{LeavingNotice, LimitNotice, RegistryChange, TargetRecord},
 };
 
 use crate::process::GatewayState;
@@ -33,6 +33,9 @@
     pub holding: ReplicaStatus,
     /// Targets that have said in an answer that they leave.
     pub leaving: Vec<LeavingNotice>,
+    /// What targets have said of their limits.
+    #[serde(default)]
+    pub limits: Vec<LimitNotice>,
 }
 
 /// Long poll for a newer configuration or newer targets. The answer is an
@@ -65,6 +68,9 @@
     pub targets: Option<TargetUpdate>,
     /// Targets that have said in an answer that they leave.
     pub leaving: Vec<LeavingNotice>,
+    /// What targets have said of their limits.
+    #[serde(default)]
+    pub limits: Vec<LimitNotice>,
 }
 
 /// Answer to a [`GossipMessage`].
@@ -111,6 +117,7 @@
             members: state.fleet.borrow().members(),
             holding: ReplicaStatus::of(state, now),
             leaving: state.leaving.borrow().notices(now),
+            limits: state.limits.borrow().notices(now),
         }
     }
 }
@@ -133,6 +140,7 @@
             config: config.map(|held| RouteConfig::clone(&held)),
             targets,
             leaving: state.leaving.borrow().notices(now),
+            limits: state.limits.borrow().notices(now),
         }
     }
 
@@ -140,6 +148,7 @@
     /// Returns whether that node is in contact with the store.
     pub fn apply(self, state: &GatewayState, source: &str, now: ClockTime) -> bool {
         state.merge_leaving(self.leaving, source);
+        state.merge_limits(self.limits, source);
         if let Some(config) = self.config {
             state.update_config(config, "peer");
         }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -1,6 +1,6 @@
 //! Calls between gateways: membership gossip, updates of configuration and
 //! targets for nodes that do not read the store, pieces of stages for their
-//! collector, and the choice of engines.
+//! collector, the choice of engines, and permits for limited targets.
 
 mod gossip_driver;
 mod gossip_message;
@@ -31,5 +31,7 @@
 pub const ENGINE_WAIT_PATH: &str = "/engine-wait";
 /// Path for long polls for a newer configuration or newer targets.
 pub const FOLLOW_PATH: &str = "/follow";
+/// Path for permits for calls to targets that have named a limit.
+pub const PERMIT_PATH: &str = "/permit";
 /// Path for probing whether a node responds.
 pub const PROBE_PATH: &str = "/probe";
--- a/crates/gateway/src/peers/peer_listener.rs
+++ b/crates/gateway/src/peers/peer_listener.rs
@@ -8,15 +8,15 @@
 
 use super::{
     ENGINE_PATH, ENGINE_PROGRESS_PATH, ENGINE_WAIT_PATH, FOLLOW_PATH, FREE_PATH, FollowRequest,
-    GOSSIP_PATH, GossipMessage, GossipReply, PROBE_PATH, PeerAck, ReplicaStatus, STAGE_PATH,
-    UpdateReply,
+    GOSSIP_PATH, GossipMessage, GossipReply, PERMIT_PATH, PROBE_PATH, PeerAck, ReplicaStatus,
+    STAGE_PATH, UpdateReply,
 };
 use crate::{
     engines::{EngineProgress, ReadWait},
     http::{BodyReader, HeaderList, HttpStream, RequestHead, ResponseHead, request_framing},
     process::{Shared, accept_each},
     staging::{FreeRequest, StageRequest},
-    targets::within,
+    targets::{PermitQuery, within},
 };
 
 /// Maximum size of the head of a request.
@@ -98,6 +98,7 @@
                 };
                 self.shared.fleet.borrow_mut().merge(message.members, now);
                 self.shared.merge_leaving(message.leaving, "gossip");
+                self.shared.merge_limits(message.limits, "gossip");
                 self.encode(&reply)
             }
             path if path == STAGE_PATH.as_bytes() => {
@@ -129,6 +130,11 @@
                 let reply = UpdateReply::since(&self.shared, &request.holding, self.shared.now());
                 self.encode(&reply)
             }
+            path if path == PERMIT_PATH.as_bytes() => {
+                let query: PermitQuery = self.decode(body)?;
+                let reply = self.shared.permits.answer(&self.shared, query);
+                self.encode(&reply)
+            }
             path if path == PROBE_PATH.as_bytes() => self.encode(&PeerAck),
             path if path == FREE_PATH.as_bytes() => {
                 let request: FreeRequest = self.decode(body)?;
--- a/crates/gateway/src/process/gateway_metrics.rs
+++ b/crates/gateway/src/process/gateway_metrics.rs
@@ -28,6 +28,8 @@
     /// Requests sent to targets that had named a limit, by service and purpose of the
     /// request.
     pub limited_sends: IntCounterVec,
+    /// Decisions on permits for limited targets, by service and outcome.
+    pub permits: IntCounterVec,
     /// Targets that have named a limit.
     pub limited_targets: IntGauge,
     /// Connections opened to targets.
@@ -94,6 +96,12 @@
                 "Requests sent to targets that had named a limit",
                 &["service", "purpose"],
             )?,
+            permits: counters(
+                registry_ref,
+                "permits",
+                "Decisions on permits for limited targets",
+                &["service", "outcome"],
+            )?,
             limited_targets: gauge(
                 registry_ref,
                 "limited_targets",
--- a/crates/gateway/src/process/gateway_state.rs
+++ b/crates/gateway/src/process/gateway_state.rs
@@ -17,8 +17,8 @@
     routes::{FirstAttemptEstimator, RouteConfig, RouteSpec},
     settings::GatewayProfile,
     targets::{
-        LeavingNotice, LeavingTargets, RequestLimit, StoreConnectivity, TargetLimits, TargetLoads,
-        TargetRecord, TargetRegistry,
+        LeavingNotice, LeavingTargets, LimitNotice, RequestLimit, StoreConnectivity, TargetLimits,
+        TargetLoads, TargetRecord, TargetRegistry,
     },
 };
 
@@ -27,7 +27,7 @@
     engines::{EngineChooser, EngineClient},
     peers::PeerClient,
     staging::{ResultReleaser, StageClient, StageCollector},
-    targets::{ConnectionPool, ResponseMemory},
+    targets::{ConnectionPool, PermitClient, ResponseMemory},
 };
 
 /// Minimum number of shares into which the retry reserve is divided. It keeps
@@ -59,6 +59,8 @@
     pub leaving: RefCell<LeavingTargets>,
     /// Limits on requests that targets have named in responses.
     pub limits: RefCell<TargetLimits>,
+    /// Obtains and grants permits for calls to limited targets.
+    pub permits: PermitClient,
     /// Load and health of targets.
     pub loads: RefCell<TargetLoads>,
     /// Other gateways.
@@ -135,6 +137,7 @@
             registry: RefCell::default(),
             leaving: RefCell::default(),
             limits: RefCell::default(),
+            permits: PermitClient::default(),
             loads: RefCell::default(),
             change_count: Cell::new(0),
             changed: Event::new(),
@@ -211,6 +214,7 @@
         self.limits
             .borrow_mut()
             .retain(|id| registry.get(id).is_some());
+        self.permits.retain(|id| registry.get(id).is_some());
         self.update_limited_targets();
         self.fleet.borrow_mut().set_active(self.is_ready());
         self.change_count.set(self.change_count.get() + 1);
@@ -266,6 +270,25 @@
             slog::info!(self.log, "targets: Limit changed.";
                 "target" => %record.id, "service" => %record.service,
                 "limit" => named.map(|limit| limit.to_string()), "source" => "answer");
+            self.loads.borrow_mut().clear_pace(&record.id);
+            self.update_limited_targets();
+        }
+    }
+
+    /// Merges notices of other nodes about the limits of targets. `source` names the
+    /// message that brought them, for the log.
+    pub fn merge_limits(&self, notices: Vec<LimitNotice>, source: &str) {
+        if notices.is_empty() {
+            return;
+        }
+        let changes = self.limits.borrow_mut().merge(notices, self.now());
+        for change in &changes {
+            slog::info!(self.log, "targets: Limit changed.";
+                "target" => %change.target, "age" => %change.age, "source" => source.to_owned(),
+                "limit" => change.limit.map(|limit| limit.to_string()));
+            self.loads.borrow_mut().clear_pace(&change.target);
+        }
+        if !changes.is_empty() {
             self.update_limited_targets();
         }
     }
--- a/crates/gateway/src/staging/result_releaser.rs
+++ b/crates/gateway/src/staging/result_releaser.rs
@@ -14,13 +14,19 @@
     http::HeaderList,
     peers::{FREE_PATH, PeerAck},
     process::Shared,
-    targets::{CallPurpose, SendError, TargetCall, TargetExchange, within},
+    targets::{
+        CallPurpose, PermitDenied, PermitRequest, SendError, SendPermit, TargetCall,
+        TargetExchange, within,
+    },
 };
 
 /// Time for which names of results are batched before they are sent on. Short
 /// against the duration of a call, which may wait for the room of the results;
 /// long against the time between requests.
 const BATCH_DELAY: Duration = Duration::from_millis(8);
+/// Longest wait for a permit to free results at a target that has named a limit.
+/// Results that are not freed expire after some seconds.
+const PERMIT_PATIENCE: TimeSpan = TimeSpan::from_millis(2_000);
 /// Timeout of a call that frees results.
 const ANSWER_TIMEOUT: TimeSpan = TimeSpan::from_millis(1_000);
 
@@ -102,22 +108,50 @@
         }
     }
 
-    /// Frees results at their target, then their room in this node's queue.
+    /// Frees results at their target, then their room in this node's queue. Names
+    /// that arrive while the call waits for a permit share the call.
     async fn send_to_target(&self, shared: &Shared, address: SocketAddr, service: PoolName) {
+        let permit = Self::acquire_permit(shared, address).await;
         let names = self
             .pending_for_targets
             .borrow_mut()
             .remove(&(address, service.clone()));
         let names = names.unwrap_or_default();
-        self.free_at_target(shared, address, &names).await;
-        shared.stage_collector.mark_freed(&service, &names);
+        match permit {
+            Ok(permit) => {
+                // Results do not outlive the target that holds them.
+                if let Some(permit) = permit {
+                    self.free_at_target(shared, permit, &names).await;
+                }
+                shared.stage_collector.mark_freed(&service, &names);
+            }
+            Err(PermitDenied { retry_after }) => {
+                slog::info!(shared.log, "stage: Results not freed, the limit of their target is used up; they will expire.";
+                    "service" => %service, "address" => %address, "results" => names.len(),
+                    "retry_after" => %retry_after);
+            }
+        }
     }
 
-    async fn free_at_target(&self, shared: &Shared, address: SocketAddr, names: &[String]) {
-        // Results do not outlive the target that holds them.
+    /// Obtains a permit for a call that frees results. `None` if the target is gone.
+    async fn acquire_permit(
+        shared: &Shared,
+        address: SocketAddr,
+    ) -> Result<Option<SendPermit>, PermitDenied> {
         let Some(record) = find_target(shared, address) else {
-            return;
+            return Ok(None);
         };
+        let permit = PermitRequest {
+            record: &record,
+            purpose: CallPurpose::Free,
+            request: None,
+            patience: PERMIT_PATIENCE,
+        };
+        shared.permits.acquire(shared, permit).await.map(Some)
+    }
+
+    async fn free_at_target(&self, shared: &Shared, permit: SendPermit, names: &[String]) {
+        let record = Arc::clone(permit.record());
         let backoff = shared
             .loads
             .borrow()
@@ -135,7 +169,7 @@
             }
         };
         let mut fields = HeaderList::default();
-        fields.push("Host", address.to_string());
+        fields.push("Host", record.address.to_string());
         fields.push(headers::EXPECT_TARGET, record.id.to_string());
         fields.push("Content-Type", "application/json");
         let call = TargetCall {
@@ -148,7 +182,7 @@
             head_timeout: ANSWER_TIMEOUT,
         };
         let sent = async {
-            let mut exchange = TargetExchange::begin(shared, &record, call).await?;
+            let mut exchange = TargetExchange::begin(shared, permit, call).await?;
             exchange.collect().await
         };
         let sent = within(ANSWER_TIMEOUT, sent).await;
--- a/crates/gateway/src/staging/stage_call_run.rs
+++ b/crates/gateway/src/staging/stage_call_run.rs
@@ -13,7 +13,9 @@
 use crate::{
     http::HeaderList,
     process::Shared,
-    targets::{CallPurpose, SendError, TargetCall, TargetExchange, within},
+    targets::{
+        CallPurpose, PermitDenied, PermitRequest, SendError, TargetCall, TargetExchange, within,
+    },
 };
 
 /// Runs one planned call to a target of a stage and reports its end to the queue.
@@ -46,6 +48,7 @@
         };
         let (end, label) = match end {
             Ok(end @ CallEnd::Answered(_)) => (end, "answered"),
+            Ok(end @ CallEnd::OverLimit { .. }) => (end, "over_limit"),
             Ok(end) => (end, "refused"),
             Err(error) if error.is_not_run() => (CallEnd::Failed, "not_sent"),
             Err(error) => (CallEnd::Failed, error.label()),
@@ -113,8 +116,18 @@
             purpose: CallPurpose::Stage,
             head_timeout: self.call.timeout,
         };
+        let permit = PermitRequest {
+            record,
+            purpose: CallPurpose::Stage,
+            request: None,
+            patience: TimeSpan::ZERO,
+        };
+        let permit = match shared.permits.acquire(shared, permit).await {
+            Ok(permit) => permit,
+            Err(PermitDenied { retry_after }) => return Ok(CallEnd::OverLimit { retry_after }),
+        };
         let begun = shared.now();
-        let mut exchange = TargetExchange::begin(shared, record, call).await?;
+        let mut exchange = TargetExchange::begin(shared, permit, call).await?;
         let left = self.call.timeout.saturating_sub(shared.now().since(begun));
         let answer = within(left, exchange.collect()).await;
         if exchange.head.status != 200 {
--- a/crates/gateway/src/staging/stage_collector.rs
+++ b/crates/gateway/src/staging/stage_collector.rs
@@ -1,6 +1,6 @@
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     rc::Rc,
     time::Duration,
 };
@@ -13,7 +13,7 @@
     ids::PoolName,
     staging::{
         CallEnd, CallNumber, PieceEnd, QueueBacklog, ResultNames, SetEnd, SetFailure, SetNumber,
-        StageQueue, StageSet,
+        StageQueue, StageSet, TargetPace,
     },
 };
 
@@ -221,6 +221,7 @@
             self.update_targets(&shared);
             let now = shared.now();
             self.update_backlogged(&shared, now);
+            self.update_paces(&shared, now);
             let late = self.queue.borrow_mut().shed(now);
             self.deliver(&shared, late);
             loop {
@@ -344,6 +345,20 @@
         self.queue.borrow_mut().set_backlogged(backlogged);
     }
 
+    /// Tells the queue how often it may call the targets that have named limits.
+    fn update_paces(&self, shared: &Shared, now: ClockTime) {
+        let mut paces = BTreeMap::new();
+        if shared.limits.borrow().limited_count() > 0 {
+            for record in shared.ready_targets(&self.service) {
+                if let Some((wait, rate)) = shared.permits.owned_wait(shared, &record) {
+                    let open_at = now + wait;
+                    paces.insert(record.id.clone(), TargetPace { rate, open_at });
+                }
+            }
+        }
+        self.queue.borrow_mut().set_paces(&paces);
+    }
+
     /// Sets the targets that the queue may call to those that this node collects
     /// for. A node that no longer collects hands over the sets that it has not
     /// started, and finishes the others with the targets that it had. One that was
--- a/crates/gateway/src/targets/mod.rs
+++ b/crates/gateway/src/targets/mod.rs
@@ -3,8 +3,11 @@
 mod call_purpose;
 mod connection_pool;
 mod memory_reservation;
+mod permit_client;
+mod permit_message;
 mod response_memory;
 mod send_error;
+mod send_permit;
 mod target_exchange;
 mod wait_limit;
 
@@ -12,8 +15,11 @@
     call_purpose::CallPurpose,
     connection_pool::ConnectionPool,
     memory_reservation::MemoryReservation,
+    permit_client::{PermitClient, PermitDenied, PermitRequest},
+    permit_message::{PermitQuery, PermitReply},
     response_memory::ResponseMemory,
     send_error::SendError,
+    send_permit::SendPermit,
     target_exchange::{TargetCall, TargetExchange},
     wait_limit::within,
 };
--- /dev/null
+++ b/crates/gateway/src/targets/permit_client.rs
@@ -0,0 +1,241 @@
+use std::{cell::RefCell, collections::HashMap, sync::Arc, time::Duration};
+
+use smol::Timer;
+use verbenahub_core::{
+    clock::{ClockTime, TimeSpan},
+    ids::{NodeId, TargetId},
+    targets::{PermitDecision, PermitLedger, RequestLimit, TargetRecord},
+    units::RateLimit,
+};
+
+use super::{CallPurpose, PermitQuery, PermitReply, SendPermit, within};
+use crate::{
+    peers::{PERMIT_PATH, PeerError},
+    process::Shared,
+};
+
+/// Timeout for asking another node for a permit.
+const ANSWER_TIMEOUT: TimeSpan = TimeSpan::from_millis(50);
+/// How long a node that did not answer isn't asked again.
+const UNRESPONSIVE_BACKOFF: TimeSpan = TimeSpan::from_millis(500);
+
+/// A call would exceed the limit of its target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PermitDenied {
+    /// Time after which a permit may be available.
+    pub retry_after: TimeSpan,
+}
+
+/// A call for which a permit is requested.
+#[derive(Clone, Copy, Debug)]
+pub struct PermitRequest<'a> {
+    /// The target to be called.
+    pub record: &'a Arc<TargetRecord>,
+    /// What the call is for.
+    pub purpose: CallPurpose,
+    /// Identifier of the caller's request, if the call belongs to one.
+    pub request: Option<&'a str>,
+    /// Longest wait for the permit.
+    pub patience: TimeSpan,
+}
+
+/// Obtains permits for calls to targets, and grants them for the targets that this
+/// node owns.
+///
+/// The owner of a target among the nodes grants the permits for it. Nodes ask it
+/// only for targets that have named a limit. A node whose owner doesn't answer
+/// uses its equal share of the limit.
+#[derive(Debug, Default)]
+pub struct PermitClient {
+    /// Permits for the targets that this node owns.
+    owned: RefCell<PermitLedger>,
+    /// This node's equal shares of the limits of targets.
+    shares: RefCell<PermitLedger>,
+    /// Nodes that did not answer, and until when they aren't asked.
+    unresponsive: RefCell<HashMap<NodeId, ClockTime>>,
+}
+
+impl PermitClient {
+    /// Obtains a permit for a call. Waits for one that is available within the
+    /// request's patience.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the target has a limit and no permit is available in time. The
+    /// target then counts as closed until the next one is expected.
+    pub async fn acquire(
+        &self,
+        shared: &Shared,
+        request: PermitRequest<'_>,
+    ) -> Result<SendPermit, PermitDenied> {
+        let record = request.record;
+        let limited = shared.limits.borrow().limit_of(record, shared.now());
+        let Some((limit, age)) = limited else {
+            return Ok(SendPermit::new(Arc::clone(record)));
+        };
+        let (decision, source) = self.decide(shared, &request, limit).await;
+        let (outcome, wait) = match decision {
+            PermitDecision::Granted { wait } => ("granted", wait),
+            PermitDecision::Denied { retry_after } => ("denied", retry_after),
+        };
+        let permits = &shared.metrics.permits;
+        permits
+            .with_label_values(&[record.service.as_str(), outcome])
+            .inc();
+        slog::info!(shared.log, "targets: Permit decided.";
+            "target" => %record.id, "service" => %record.service,
+            "purpose" => request.purpose.label(), "request" => request.request.map(str::to_owned),
+            "limit" => %limit, "limit_age" => %age, "source" => source, "outcome" => outcome,
+            "wait" => %wait);
+        match decision {
+            PermitDecision::Granted { wait } => {
+                if !wait.is_zero() {
+                    Timer::after(Duration::from(wait)).await;
+                }
+                Ok(SendPermit::new(Arc::clone(record)))
+            }
+            PermitDecision::Denied { retry_after } => {
+                let until = shared.now() + retry_after;
+                shared.loads.borrow_mut().set_pace(record, until);
+                Err(PermitDenied { retry_after })
+            }
+        }
+    }
+
+    /// Decides on another node's query.
+    pub fn answer(&self, shared: &Shared, query: PermitQuery) -> PermitReply {
+        let registered = shared.registry.borrow().get(&query.notice.target).cloned();
+        let started_at = query.notice.started_at;
+        let Some(record) = registered.filter(|record| record.started_at == started_at) else {
+            return PermitReply::NotOwner;
+        };
+        shared.merge_limits(vec![query.notice], "permit query");
+        if Self::owner(shared, &record).as_ref() != Some(&shared.profile.node) {
+            self.owned.borrow_mut().forget(&record);
+            return PermitReply::NotOwner;
+        }
+        let limited = shared.limits.borrow().limit_of(&record, shared.now());
+        let decision = limited.map_or(
+            PermitDecision::Granted {
+                wait: TimeSpan::ZERO,
+            },
+            |(limit, _)| self.grant(shared, &record, limit, query.patience),
+        );
+        PermitReply::Decided(decision)
+    }
+
+    /// Time until the next permit for a target that this node owns is available,
+    /// and the rate at which they are. `None` if the target has no limit or another
+    /// owner.
+    #[must_use]
+    pub fn owned_wait(
+        &self,
+        shared: &Shared,
+        record: &TargetRecord,
+    ) -> Option<(TimeSpan, RateLimit)> {
+        let now = shared.now();
+        let (limit, _) = shared.limits.borrow().limit_of(record, now)?;
+        if Self::owner(shared, record)? != shared.profile.node {
+            return None;
+        }
+        let rate = owned_rate(shared, limit);
+        let wait = self.owned.borrow_mut().wait(record, rate, now);
+        Some((wait, rate))
+    }
+
+    /// Removes the targets that are unknown to `is_known`.
+    pub fn retain<Known>(&self, is_known: Known)
+    where
+        Known: Fn(&TargetId) -> bool,
+    {
+        self.owned.borrow_mut().retain(&is_known);
+        self.shares.borrow_mut().retain(&is_known);
+    }
+
+    async fn decide(
+        &self,
+        shared: &Shared,
+        request: &PermitRequest<'_>,
+        limit: RequestLimit,
+    ) -> (PermitDecision, String) {
+        let record = request.record;
+        let owner = Self::owner(shared, record);
+        if let Some(owner) = owner {
+            if owner == shared.profile.node {
+                let decision = self.grant(shared, record, limit, request.patience);
+                return (decision, "own".to_owned());
+            }
+            if let Some(decision) = self.ask_owner(shared, &owner, request).await {
+                return (decision, owner.to_string());
+            }
+        }
+        let share = shared.fleet.borrow().equal_share();
+        let rate = limit.rate().scaled(share);
+        let mut ledger = self.shares.borrow_mut();
+        let decision = ledger.acquire(record, rate, request.patience, shared.now());
+        (decision, "share".to_owned())
+    }
+
+    async fn ask_owner(
+        &self,
+        shared: &Shared,
+        owner: &NodeId,
+        request: &PermitRequest<'_>,
+    ) -> Option<PermitDecision> {
+        let now = shared.now();
+        let unresponsive = self.unresponsive.borrow().get(owner).copied();
+        if unresponsive.is_some_and(|until| until > now) {
+            return None;
+        }
+        let notice = shared.limits.borrow().notice_of(request.record, now)?;
+        let address = shared.fleet.borrow().address_of(owner)?;
+        let query = PermitQuery {
+            service: request.record.service.clone(),
+            notice,
+            patience: request.patience,
+        };
+        let call = shared
+            .peers
+            .call(address, PERMIT_PATH, &query, ANSWER_TIMEOUT);
+        let reply = within(ANSWER_TIMEOUT, call).await;
+        let reply = reply.unwrap_or(Err(PeerError::Timeout));
+        let end = if reply.is_ok() { "answered" } else { "failed" };
+        let calls = &shared.metrics.peer_calls;
+        calls.with_label_values(&["permit", end]).inc();
+        match reply {
+            Ok(PermitReply::Decided(decision)) => Some(decision),
+            Ok(PermitReply::NotOwner) => None,
+            Err(error) => {
+                slog::warn!(shared.log, "targets: Owner of a limit did not answer.";
+                    "target" => %request.record.id, "owner" => %owner, "error" => %error);
+                let until = shared.now() + UNRESPONSIVE_BACKOFF;
+                self.unresponsive.borrow_mut().insert(owner.clone(), until);
+                None
+            }
+        }
+    }
+
+    fn grant(
+        &self,
+        shared: &Shared,
+        record: &TargetRecord,
+        limit: RequestLimit,
+        patience: TimeSpan,
+    ) -> PermitDecision {
+        let rate = owned_rate(shared, limit);
+        let mut owned = self.owned.borrow_mut();
+        owned.acquire(record, rate, patience, shared.now())
+    }
+
+    fn owner(shared: &Shared, record: &TargetRecord) -> Option<NodeId> {
+        let shards = shared.stage_client.shards(shared, &record.service);
+        let owner = shards.owner_of_target(&record.id);
+        owner.or_else(|| shards.owners().first()).cloned()
+    }
+}
+
+/// The rate at which the owner of a target grants permits.
+fn owned_rate(shared: &Shared, limit: RequestLimit) -> RateLimit {
+    let share = shared.fleet.borrow().grant_share(shared.now());
+    limit.rate().scaled(share)
+}
--- a/crates/gateway/src/targets/target_exchange.rs
+++ b/crates/gateway/src/targets/target_exchange.rs
@@ -8,7 +8,7 @@
 };
 use verbenahub_platform::headers;
 
-use super::{CallPurpose, SendError, within};
+use super::{CallPurpose, SendError, SendPermit, within};
 use crate::{
     http::{
         BodyError, BodyFraming, BodyReader, HeadError, HeaderList, HttpStream, RequestHead,
@@ -103,9 +103,10 @@
     /// whether the call may have run.
     pub async fn begin(
         shared: &Shared,
-        record: &Arc<TargetRecord>,
+        permit: SendPermit,
         call: TargetCall<'_>,
     ) -> Result<Self, SendError> {
+        let record = &permit.into_record();
         let mut in_flight = InFlightCall::begin(shared, record);
         let (purpose, sent_at) = (call.purpose, shared.now());
         log_limited_send(shared, record, &call);
