Don't add up the parts of a limit that its owner does not grant

The least rate at which a target is still asked (0.1 a second) was applied to each node's share: with a silent owner, 295 nodes could have sent 29 requests a second to a target that names 0.3. And each node kept up to three unused permits of its share from one outage of an owner to the next. Now the least rate is that of the target, shares are parts of it and are forgotten after two seconds without use, and a node that waits for its share asks the owner again after 0.5 s. Of a limit given twice in one head the lower counts, and an unreadable one withdraws nothing.

--- a/crates/core/src/targets/permit_ledger.rs
+++ b/crates/core/src/targets/permit_ledger.rs
@@ -7,6 +7,10 @@
     units::RateLimit,
 };
 
+/// Time after which an unused share of a limit is forgotten. The shares of many
+/// nodes, saved up while the owner answered, would be far more than the limit.
+const SHARE_IDLE_LIMIT: TimeSpan = TimeSpan::from_secs(2);
+
 /// Grants permits for requests to targets that have named limits.
 ///
 /// Designed for this load pattern: a target under stress accepts a few requests a
@@ -17,9 +21,20 @@
 #[derive(Clone, Debug, Default)]
 pub struct PermitLedger {
     pacers: BTreeMap<(TargetId, Option<u64>), SendPacer>,
+    /// Time after which the unused permits for a target are forgotten, if any.
+    idle_limit: Option<TimeSpan>,
 }
 
 impl PermitLedger {
+    /// Creates the ledger of a node's shares of limits that others own.
+    #[must_use]
+    pub fn for_shares() -> Self {
+        Self {
+            idle_limit: Some(SHARE_IDLE_LIMIT),
+            ..Self::default()
+        }
+    }
+
     /// Takes the next permit for a request to a target at `rate`, if it is available
     /// within `patience`.
     pub fn acquire(
@@ -53,9 +68,16 @@
 
     fn pacer(&mut self, record: &TargetRecord, now: ClockTime) -> &mut SendPacer {
         let pacers = &mut self.pacers;
-        pacers
+        let pacer = pacers
             .entry(key(record))
-            .or_insert_with(|| SendPacer::new(now))
+            .or_insert_with(|| SendPacer::new(now));
+        if self
+            .idle_limit
+            .is_some_and(|limit| pacer.idle_time(now) >= limit)
+        {
+            *pacer = SendPacer::new(now);
+        }
+        pacer
     }
 }
 
--- a/crates/core/src/targets/request_limit.rs
+++ b/crates/core/src/targets/request_limit.rs
@@ -5,6 +5,10 @@
 
 use crate::units::RateLimit;
 
+/// Rate at which a target with a lower limit is still asked. Without a request it
+/// can't say that its limit is over.
+const MIN_PROBE_RATE: f64 = 0.1;
+
 /// The value of a header that names a limit is not a number of requests a second.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 #[error("not a number of requests a second: {0:?}")]
@@ -23,6 +27,19 @@
     pub const fn rate(self) -> RateLimit {
         self.0
     }
+
+    /// The rate at which a part of the fleet may send requests, which uses `share`
+    /// of the limit.
+    #[must_use]
+    pub fn pace(self, share: f64) -> RateLimit {
+        self.0.at_least(MIN_PROBE_RATE).scaled(share)
+    }
+
+    /// The lower of two limits.
+    #[must_use]
+    pub fn min(self, other: Self) -> Self {
+        if other < self { other } else { self }
+    }
 }
 
 impl fmt::Display for RequestLimit {
--- a/crates/core/src/targets/send_pacer.rs
+++ b/crates/core/src/targets/send_pacer.rs
@@ -11,9 +11,6 @@
 /// Least number of unused permits that are kept, for low limits. With one only, a
 /// third of the permits would be lost between requests that come at random.
 const MIN_BURST: f64 = 3.0;
-/// Rate at which a target with a lower limit is still asked. Without a request it
-/// can't say that its limit is over.
-const MIN_PROBE_RATE: f64 = 0.1;
 /// Longest additional wait by which denied senders are spread, so that in a large
 /// fleet they don't all ask again for the same permit.
 const MAX_SPREAD: TimeSpan = TimeSpan::from_secs(2);
@@ -40,6 +37,11 @@
         }
     }
 
+    /// Time since the pacer was last asked.
+    pub(super) const fn idle_time(&self, now: ClockTime) -> TimeSpan {
+        now.since(self.refilled_at)
+    }
+
     /// Time until the next permit is available.
     pub(super) fn wait(&mut self, rate: RateLimit, now: ClockTime) -> TimeSpan {
         let rate = self.refill(rate, now);
@@ -59,7 +61,7 @@
             self.denials = 0;
             return PermitDecision::Granted { wait };
         }
-        let spread = f64::from(self.denials) / probe_rate(rate) * MILLIS_PER_SECOND;
+        let spread = f64::from(self.denials) / positive(rate) * MILLIS_PER_SECOND;
         self.denials = self.denials.saturating_add(1);
         PermitDecision::Denied {
             retry_after: wait + numbers::span(spread).min(MAX_SPREAD),
@@ -67,7 +69,7 @@
     }
 
     fn refill(&mut self, rate: RateLimit, now: ClockTime) -> f64 {
-        let rate = probe_rate(rate);
+        let rate = positive(rate);
         let capacity = (rate * BURST.as_secs_f64()).max(MIN_BURST);
         let earned = rate * now.since(self.refilled_at).as_secs_f64();
         self.tokens = (self.tokens + earned).min(capacity);
@@ -76,6 +78,7 @@
     }
 }
 
-fn probe_rate(rate: RateLimit) -> f64 {
-    rate.as_per_second().max(MIN_PROBE_RATE)
+/// The rate as a divisor.
+const fn positive(rate: RateLimit) -> f64 {
+    rate.as_per_second().max(f64::MIN_POSITIVE)
 }
--- a/crates/core/src/units/rate_limit.rs
+++ b/crates/core/src/units/rate_limit.rs
@@ -30,6 +30,12 @@
         }
     }
 
+    /// The rate, or `events` per second if it is lower.
+    #[must_use]
+    pub const fn at_least(self, events: f64) -> Self {
+        Self(self.0.max(events))
+    }
+
     /// A share of the rate, from 0 to 1.
     #[must_use]
     pub fn scaled(self, share: f64) -> Self {
--- a/crates/core/tests/permit_simulation.rs
+++ b/crates/core/tests/permit_simulation.rs
@@ -8,7 +8,7 @@
     clock::{ClockTime, TimeSpan},
     fleet::{FleetMember, FleetTable},
     ids::{EraNumber, IncarnationNumber, NodeId, PoolName, StoreRevision, TargetId, ZoneName},
-    targets::{PermitDecision, PermitLedger, TargetRecord, TargetState},
+    targets::{PermitDecision, PermitLedger, RequestLimit, TargetRecord, TargetState},
     units::RateLimit,
 };
 
@@ -18,6 +18,8 @@
 const RUN_MS: u64 = 40_000;
 /// Time until nodes agree again after the owner has changed or a split has begun.
 const DETECTION_MS: u64 = 1_000;
+/// Time after which a node asks an owner again that did not answer.
+const OWNER_BACKOFF: TimeSpan = TimeSpan::from_millis(500);
 /// Rounds of gossip after which a node is established.
 const ESTABLISHED_ROUNDS: u64 = 20;
 
@@ -30,6 +32,8 @@
     /// The owner is replaced by another node every five seconds. Half of the nodes
     /// notice a second late.
     OwnerReplaced,
+    /// No other node reaches the owner.
+    OwnerSilent,
     /// The owner stands still for two of every five seconds.
     OwnerFrozen,
     /// A third of the nodes can't reach the others from the tenth second on.
@@ -47,7 +51,7 @@
 struct Simulation {
     nodes: Vec<Node>,
     record: Arc<TargetRecord>,
-    limit: RateLimit,
+    limit: RequestLimit,
     trouble: Trouble,
     rng: Rng,
     sends: VecDeque<u64>,
@@ -95,14 +99,14 @@
             Node {
                 fleet,
                 owned: PermitLedger::default(),
-                share: PermitLedger::default(),
+                share: PermitLedger::for_shares(),
                 closed_until: ClockTime::ZERO,
             }
         });
         Self {
             nodes: nodes.collect(),
             record: target(),
-            limit: RateLimit::per_second(limit).expect("a valid rate"),
+            limit: limit.to_string().parse().expect("a valid limit"),
             trouble,
             rng: Rng::with_seed(seed),
             sends: VecDeque::new(),
@@ -143,6 +147,7 @@
         let is_lost = match self.trouble {
             Trouble::LostMessages => self.rng.u8(..10) == 0,
             Trouble::OwnerFrozen => now % 5_000 >= 3_000,
+            Trouble::OwnerSilent => true,
             _ => false,
         };
         !is_lost && self.is_connected(owner, node, now)
@@ -165,17 +170,22 @@
         }
         let decision = if is_granted_by_owner && is_owner {
             let granting = &mut self.nodes[owner];
-            let rate = self.limit.scaled(granting.fleet.grant_share(time));
+            let rate = self.limit.pace(granting.fleet.grant_share(time));
             granting.owned.acquire(&self.record, rate, patience, time)
         } else {
             let asking = &mut self.nodes[node];
-            let rate = self.limit.scaled(asking.fleet.equal_share());
+            let rate = self.limit.pace(asking.fleet.equal_share());
             asking.share.acquire(&self.record, rate, patience, time)
         };
         match decision {
             PermitDecision::Granted { .. } => self.record_send(now),
             PermitDecision::Denied { retry_after } => {
-                self.nodes[node].closed_until = time + retry_after;
+                let longest = if is_granted_by_owner && is_owner {
+                    retry_after
+                } else {
+                    OWNER_BACKOFF
+                };
+                self.nodes[node].closed_until = time + retry_after.min(longest);
             }
         }
     }
@@ -207,7 +217,7 @@
 
     /// Plays a run with demand of twice the limit, spread over the nodes.
     fn run(mut self) -> Self {
-        let chance = self.limit.as_per_second() * 2.0 / 1_000.0;
+        let chance = self.limit.rate().as_per_second() * 2.0 / 1_000.0;
         for now in 0..RUN_MS {
             if now.is_multiple_of(1_000) && self.nodes.len() <= 300 {
                 self.gossip(now);
@@ -235,10 +245,11 @@
     count as f64
 }
 
-const TROUBLES: [Trouble; 5] = [
+const TROUBLES: [Trouble; 6] = [
     Trouble::None,
     Trouble::LostMessages,
     Trouble::OwnerReplaced,
+    Trouble::OwnerSilent,
     Trouble::OwnerFrozen,
     Trouble::Split,
 ];
@@ -265,6 +276,21 @@
     }
 }
 
+#[test]
+fn shares_that_were_not_used_for_long_grant_no_burst() {
+    let (record, rate) = (target(), RateLimit::per_second(1.0).expect("a valid rate"));
+    let mut shares = PermitLedger::for_shares();
+    let ask = |shares: &mut PermitLedger, now: u64| {
+        let decision = shares.acquire(&record, rate, TimeSpan::ZERO, at(now));
+        matches!(decision, PermitDecision::Granted { .. })
+    };
+    assert!(!ask(&mut shares, 0));
+    assert!(ask(&mut shares, 1_500));
+    assert!(!ask(&mut shares, 60_000));
+    assert!(!ask(&mut shares, 60_500));
+    assert!(ask(&mut shares, 61_000));
+}
+
 #[test]
 fn nine_tenths_of_a_limit_are_used_while_demand_is_double() {
     for nodes in [9, 60, 295] {
--- a/crates/gateway/src/targets/permit_client.rs
+++ b/crates/gateway/src/targets/permit_client.rs
@@ -45,7 +45,7 @@
 /// The owner of a target among the nodes grants the permits for it. Nodes ask it
 /// only for targets that have named a limit. A node whose owner doesn't answer
 /// uses its equal share of the limit.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct PermitClient {
     /// Permits for the targets that this node owns.
     owned: RefCell<PermitLedger>,
@@ -55,6 +55,16 @@
     unresponsive: RefCell<HashMap<NodeId, ClockTime>>,
 }
 
+impl Default for PermitClient {
+    fn default() -> Self {
+        Self {
+            owned: RefCell::default(),
+            shares: RefCell::new(PermitLedger::for_shares()),
+            unresponsive: RefCell::default(),
+        }
+    }
+}
+
 impl PermitClient {
     /// Obtains a permit for a call. Waits for one that is available within the
     /// request's patience.
@@ -170,9 +180,13 @@
             }
         }
         let share = shared.fleet.borrow().equal_share();
-        let rate = limit.rate().scaled(share);
+        let rate = limit.pace(share);
         let mut ledger = self.shares.borrow_mut();
-        let decision = ledger.acquire(record, rate, request.patience, shared.now());
+        let mut decision = ledger.acquire(record, rate, request.patience, shared.now());
+        if let PermitDecision::Denied { retry_after } = &mut decision {
+            // The owner may answer long before a small share grants a permit.
+            *retry_after = (*retry_after).min(UNRESPONSIVE_BACKOFF);
+        }
         (decision, "share".to_owned())
     }
 
@@ -237,5 +251,5 @@
 /// The rate at which the owner of a target grants permits.
 fn owned_rate(shared: &Shared, limit: RequestLimit) -> RateLimit {
     let share = shared.fleet.borrow().grant_share(shared.now());
-    limit.rate().scaled(share)
+    limit.pace(share)
 }
--- a/crates/gateway/src/targets/target_exchange.rs
+++ b/crates/gateway/src/targets/target_exchange.rs
@@ -342,12 +342,18 @@
     if head.status == MISDIRECTED {
         return;
     }
-    let named = head.headers.text(headers::LIMIT);
-    match named.map(str::parse::<RequestLimit>).transpose() {
-        Ok(None) if purpose == CallPurpose::Free || !SUCCESS.contains(&head.status) => {}
-        Ok(limit) => shared.record_limit(record, limit, sent_at),
-        Err(error) => slog::warn!(shared.log, "targets: Limit not usable.";
-            "target" => %record.id, "error" => %error),
+    let mut is_unnamed = purpose != CallPurpose::Free && SUCCESS.contains(&head.status);
+    let mut lowest: Option<RequestLimit> = None;
+    for value in head.headers.all(headers::LIMIT) {
+        is_unnamed = false;
+        match String::from_utf8_lossy(value).parse::<RequestLimit>() {
+            Ok(limit) => lowest = Some(lowest.map_or(limit, |lowest| lowest.min(limit))),
+            Err(error) => slog::warn!(shared.log, "targets: Limit not usable.";
+                "target" => %record.id, "error" => %error),
+        }
+    }
+    if lowest.is_some() || is_unnamed {
+        shared.record_limit(record, lowest, sent_at);
     }
 }
 
