Reject callers beyond all limits at once, with a time that spreads them

While all targets of a service name limits, callers beyond them were told the time of the next permit, all the same one, and requests with stages ran these first. Now a request whose targets are all closed for longer than it can wait is rejected before its stages; rejected callers are told turns, one after the other at this node's part of the limits, without the cap for estimates; and a caller that comes back may wait for a permit until its deadline, as it seldom comes more than once.

--- a/crates/core/src/targets/mod.rs
+++ b/crates/core/src/targets/mod.rs
@@ -11,6 +11,7 @@
 mod removed_run;
 mod request_limit;
 mod retry_after;
+mod return_schedule;
 mod send_pacer;
 mod store_connectivity;
 mod target_criteria;
@@ -30,6 +31,7 @@
     registry_change::RegistryChange,
     request_limit::{RequestLimit, RequestLimitError},
     retry_after::RetryAfter,
+    return_schedule::ReturnSchedule,
     store_connectivity::StoreConnectivity,
     target_criteria::TargetCriteria,
     target_limits::TargetLimits,
--- a/crates/core/tests/target_limits.rs
+++ b/crates/core/tests/target_limits.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 
 use verbenahub_core::{
-    clock::ClockTime,
+    clock::{ClockTime, TimeSpan},
     ids::{EraNumber, PoolName, StoreRevision, TargetId, ZoneName},
-    targets::{RequestLimit, TargetLimits, TargetRecord, TargetState},
+    targets::{RequestLimit, ReturnSchedule, TargetLimits, TargetRecord, TargetState},
 };
 
 fn at(millis: u64) -> ClockTime {
@@ -51,6 +51,25 @@
     }
 }
 
+#[test]
+fn rejected_callers_come_back_one_after_the_other() {
+    let mut schedule = ReturnSchedule::default();
+    let rate = limit("10").rate();
+    let mut assign = |time_left: u64, now: u64| {
+        let time_left = TimeSpan::from_millis(time_left);
+        let least = TimeSpan::from_millis(200);
+        schedule.assign(rate, least, time_left, at(now)).as_millis()
+    };
+    assert_eq!(assign(1_000, 0), 200);
+    assert_eq!(assign(1_000, 0), 300);
+    // This caller will have left by then and needs no turn.
+    assert_eq!(assign(350, 10), 390);
+    assert_eq!(assign(1_000, 10), 390);
+    assert_eq!(assign(1_000, 10), 490);
+    // Turns that have passed are over.
+    assert_eq!(assign(1_000, 5_000), 200);
+}
+
 #[test]
 fn limit_concerns_one_run_of_a_target() {
     let mut limits = TargetLimits::default();
--- a/crates/gateway/src/front/gateway_response.rs
+++ b/crates/gateway/src/front/gateway_response.rs
@@ -35,6 +35,18 @@
         }
     }
 
+    /// The request was not run because the limits of all targets are used up. The
+    /// time is known rather than estimated, so it may be long.
+    #[must_use]
+    // The proof is consumed, as in `not_run`.
+    #[allow(clippy::needless_pass_by_value)]
+    pub fn over_limit(_proof: NotRunProof, retry_after: TimeSpan) -> Self {
+        Self {
+            retry_after: Some(retry_after.max(MIN_RETRY_AFTER)),
+            ..Self::new(503, "Service Unavailable", "over_limit")
+        }
+    }
+
     /// The request may have run; the target's response was lost.
     #[must_use]
     pub const fn outcome_unknown() -> Self {
--- a/crates/gateway/src/front/stream_flow.rs
+++ b/crates/gateway/src/front/stream_flow.rs
@@ -59,6 +59,9 @@
     let mut sender = TargetSender::new(shared, request);
     let mut result_guard = None;
     if !request.route.stages.is_empty() {
+        if let Err(response) = sender.check_open() {
+            return StreamStart::Gateway(response);
+        }
         match run_stages(shared, request, &sender, None).await {
             Ok(output) => {
                 sender.set_stage_output(&output);
--- a/crates/gateway/src/front/target_sender.rs
+++ b/crates/gateway/src/front/target_sender.rs
@@ -140,13 +140,13 @@
         let mut denials = 0;
         loop {
             let Some(record) = self.choose_target().await else {
-                return Err(self.failure_response(self.no_target_code()));
+                return Err(self.no_target_response());
             };
             let Ok(permit) = self.acquire_permit(&record).await else {
                 self.end_assignment(PromptStep::Ended);
                 denials += 1;
                 if denials >= MAX_DENIALS {
-                    return Err(self.failure_response("over_limit"));
+                    return Err(self.no_target_response());
                 }
                 continue;
             };
@@ -190,16 +190,48 @@
         }
     }
 
-    /// Error code of a request for which no target can be chosen.
-    fn no_target_code(&self) -> &'static str {
+    /// The gateway's own response to a request for which no target can be chosen.
+    fn no_target_response(&self) -> GatewayResponse {
         let candidates = self.shared.ready_targets(&self.request.service);
-        let (limits, now) = (self.shared.limits.borrow(), self.shared.now());
-        let mut candidates = candidates.iter();
-        if candidates.any(|record| limits.limit_of(record, now).is_some()) {
-            "over_limit"
-        } else {
-            "no_target"
+        let rate = self.shared.limited_rate(&candidates);
+        let Some(rate) = rate.filter(|_| !candidates.is_empty()) else {
+            return self.failure_response("no_target");
+        };
+        let Some(proof) = self.history.prove_not_run() else {
+            return self.failure_response("over_limit");
+        };
+        let now = self.shared.now();
+        let open = self
+            .shared
+            .loads
+            .borrow()
+            .shortest_backoff(&candidates, now);
+        let left = self.request.time_left(now);
+        let service = &self.request.service;
+        let least = open.unwrap_or_default();
+        let wait = self.shared.assign_return(service, rate, least, left);
+        GatewayResponse::over_limit(proof, wait)
+    }
+
+    /// Rejects a request whose targets are all closed for longer than it can wait
+    /// for them, before its stages do work that would be lost.
+    ///
+    /// # Errors
+    ///
+    /// Returns the gateway's own response if the request can't be served.
+    pub(super) fn check_open(&self) -> Result<(), GatewayResponse> {
+        let candidates = self.shared.ready_targets(&self.request.service);
+        let now = self.shared.now();
+        let closed = self
+            .shared
+            .loads
+            .borrow()
+            .shortest_backoff(&candidates, now);
+        let half_left = now.until(self.request.first_event_deadline()).as_millis() / 2;
+        if closed.is_some_and(|closed| closed > TimeSpan::from_millis(half_left)) {
+            return Err(self.no_target_response());
         }
+        Ok(())
     }
 
     /// The gateway's own response to a request that is not sent any more.
@@ -238,8 +270,9 @@
 
     /// Longest useful wait for a permit: zero while another target is usable, else
     /// half of the time until the answer is due, so that the other half is left for
-    /// the target. A request whose stages are done is due at its deadline, since
-    /// their work would be lost with it.
+    /// the target. A request whose stages are done, or whose caller comes back after
+    /// a rejection, is due at its deadline: the work of the stages would be lost, and
+    /// callers come back seldom more than once.
     fn permit_patience(&self, record: &Arc<TargetRecord>) -> TimeSpan {
         let shared = self.shared;
         let candidates = shared.ready_targets(&self.request.service);
@@ -251,10 +284,12 @@
         if others.any(|other| !unusable.contains(&other.id)) {
             return TimeSpan::ZERO;
         }
-        let due = if self.inputs.is_some() {
-            self.request.first_event_deadline()
+        let request = self.request;
+        let has_returned = request.first_sent_at < request.received_at;
+        let due = if self.inputs.is_some() || has_returned {
+            request.first_event_deadline()
         } else {
-            self.request.goal_at()
+            request.goal_at()
         };
         let left = shared.now().until(due).as_millis();
         TimeSpan::from_millis(left / 2)
--- a/crates/gateway/src/process/gateway_state.rs
+++ b/crates/gateway/src/process/gateway_state.rs
@@ -17,9 +17,10 @@
     routes::{FirstAttemptEstimator, RouteConfig, RouteSpec},
     settings::GatewayProfile,
     targets::{
-        LeavingNotice, LeavingTargets, LimitNotice, RequestLimit, StoreConnectivity, TargetLimits,
-        TargetLoads, TargetRecord, TargetRegistry,
+        LeavingNotice, LeavingTargets, LimitNotice, RequestLimit, ReturnSchedule,
+        StoreConnectivity, TargetLimits, TargetLoads, TargetRecord, TargetRegistry,
     },
+    units::RateLimit,
 };
 
 use super::{GatewayClock, GatewayMetrics, LocalTasks, WorkCounter};
@@ -103,6 +104,8 @@
     pub stopping: Cell<bool>,
     /// Closed when idle connections of callers are to be closed.
     pub caller_shutdown: Receiver<()>,
+    /// When callers of services whose targets have all named limits come back.
+    return_schedules: RefCell<HashMap<PoolName, ReturnSchedule>>,
     /// Estimates when callers made their first attempt, by route name.
     first_attempts: RefCell<HashMap<String, FirstAttemptEstimator>>,
     rng: RefCell<Rng>,
@@ -152,6 +155,7 @@
             stage_client: StageClient::default(),
             work: WorkCounter::default(),
             stopping: Cell::new(false),
+            return_schedules: RefCell::default(),
             first_attempts: RefCell::default(),
             rng: RefCell::new(Rng::new()),
             profile,
@@ -293,6 +297,36 @@
         }
     }
 
+    /// This node's part of the rate of requests that the targets of a service accept
+    /// together. `None` unless all of them have named limits.
+    #[must_use]
+    pub fn limited_rate(&self, candidates: &[Arc<TargetRecord>]) -> Option<RateLimit> {
+        let now = self.now();
+        let limits = self.limits.borrow();
+        let rates = candidates.iter().map(|record| {
+            let (limit, _) = limits.limit_of(record, now)?;
+            Some(limit.rate().as_per_second())
+        });
+        let total: f64 = rates.sum::<Option<f64>>()?;
+        let nodes = u32::try_from(self.fleet.borrow().live_count(now)).unwrap_or(u32::MAX);
+        RateLimit::per_second(total / f64::from(nodes.max(1))).ok()
+    }
+
+    /// Tells a rejected caller of a service when to come back, at the earliest after
+    /// `least`. `rate` is the rate at which this node's callers are served.
+    #[must_use]
+    pub fn assign_return(
+        &self,
+        service: &PoolName,
+        rate: RateLimit,
+        least: TimeSpan,
+        time_left: TimeSpan,
+    ) -> TimeSpan {
+        let mut schedules = self.return_schedules.borrow_mut();
+        let schedule = schedules.entry(service.clone()).or_default();
+        schedule.assign(rate, least, time_left, self.now())
+    }
+
     fn update_limited_targets(&self) {
         let count = self.limits.borrow().limited_count();
         let count = i64::try_from(count).unwrap_or(i64::MAX);
