--- a/crates/core/tests/gateway_fleet.rs
+++ b/crates/core/tests/gateway_fleet.rs
@@ -499,3 +499,54 @@
         assert_eq!(choosers(engines), expected, "{engines} engines");
     }
 }
+
+/// A table with `count` members, heard at 0, of which `live` were heard again at
+/// 10 s. The node itself has sent `rounds` heartbeats.
+fn fleet_in_contact(count: usize, live: usize, rounds: usize) -> FleetTable {
+    let mut fleet = FleetTable::new(member(0, 0, 0.25));
+    fleet.merge(
+        (1..count).map(|number| member(number, 1, 0.25)).collect(),
+        at(0),
+    );
+    for _ in 0..rounds {
+        fleet.start_round(at(0));
+    }
+    fleet.merge(
+        (1..live).map(|number| member(number, 2, 0.25)).collect(),
+        at(10_000),
+    );
+    fleet
+}
+
+#[test]
+fn parts_of_a_fleet_grant_little_more_than_a_limit_together() {
+    for (count, live, share) in [
+        (9, 9, 1.0),
+        (9, 5, 1.0),
+        (9, 4, 4.0 / 18.0),
+        (10, 5, 0.25),
+        (300, 1, 1.0 / 600.0),
+    ] {
+        let fleet = fleet_in_contact(count, live, 20);
+        let granted = fleet.grant_share(at(10_001));
+        assert!(
+            (granted - share).abs() < 1e-9,
+            "{live} of {count}: {granted}"
+        );
+        if count > live {
+            let other = fleet_in_contact(count, count - live, 20);
+            let both = granted + other.grant_share(at(10_001));
+            assert!(both <= 1.25, "{live} of {count}: {both}");
+        }
+    }
+}
+
+#[test]
+fn node_that_has_just_started_grants_a_part_of_a_limit_only() {
+    let alone = fleet_in_contact(1, 1, 0);
+    assert!(alone.grant_share(at(100)) <= 1.0 / 12.0);
+    let nine = fleet_in_contact(9, 9, 3);
+    assert!(nine.grant_share(at(10_001)) <= 0.75);
+    let established = fleet_in_contact(1, 1, 20);
+    assert!((established.grant_share(at(10_001)) - 1.0).abs() < 1e-9);
+}
--- a/crates/gateway/tests/soak.rs
+++ b/crates/gateway/tests/soak.rs
@@ -26,8 +26,9 @@
 use rustix::process::Signal;
 use serde_json::{Value, json};
 use support::{
-    CallerRequest, GatewayProcess, RawResponse, any_port, config, default_routes, register,
-    register_with_state, route, wait_for,
+    CallerRequest, GatewayProcess, RawResponse, any_port, config, default_routes,
+    limit_watch::{GatewayHistory, LIMIT_HEADER, LimitWatch},
+    register, register_with_state, route, wait_for,
 };
 use verbenahub_platform_standin::{
     EngineTarget, FaultProxy, LinkFault, PlainTarget, RawCall, RawReply, ReplyStep, RunLog,
@@ -38,6 +39,9 @@
 const CALLERS: usize = 8;
 /// Number of events in a complete stream.
 const EVENTS: u32 = 5;
+/// Limit that one target of each service names during the faults, in requests a
+/// second.
+const LIMIT: f64 = 2.0;
 /// Seeds that are run unless `SOAK_SEEDS` is set.
 const CI_SEEDS: Range<u64> = 1..3;
 /// Duration of the faults for each seed unless `SOAK_SECONDS` is set.
@@ -49,8 +53,15 @@
     id: String,
     kind: &'static str,
     response: RawResponse,
+    /// Gateway that it was sent to.
+    gateway: SocketAddr,
+    /// When the response was complete.
+    ended_at: Instant,
 }
 
+/// Gateway that each request was sent to.
+type SenderLog = Mutex<BTreeMap<String, SocketAddr>>;
+
 /// The gateways and everything that they are connected to.
 struct SoakCluster {
     store: StoreServer,
@@ -62,6 +73,10 @@
     /// Proxies between the gateways and the store, by index of the gateway.
     store_proxies: Vec<FaultProxy>,
     gateways: Vec<GatewayProcess>,
+    /// Limits of the targets that name one, by target.
+    limits: BTreeMap<String, LimitWatch>,
+    /// Gateways that are frozen or were, with the begin and the end of it.
+    frozen: Vec<(SocketAddr, Instant, Option<Instant>)>,
     /// Addresses at which the gateways accept callers, by index of the gateway.
     caller_addresses: Arc<Mutex<Vec<SocketAddr>>>,
     /// Last published version of the configuration.
@@ -82,6 +97,10 @@
             stages: Vec::new(),
             target_proxies: Vec::new(),
             gateways: Vec::new(),
+            limits: ["desk-1", "pool-1"]
+                .map(|target| (target.to_owned(), LimitWatch::new(LIMIT)))
+                .into(),
+            frozen: Vec::new(),
             caller_addresses: Arc::default(),
             version: 0,
         };
@@ -89,16 +108,18 @@
         for index in 0..3 {
             let fault_seed = AtomicU64::new(seed * 7 + index);
             let id = format!("desk-{index}");
+            let limit = cluster.limits.get(&id).cloned();
             let target = PlainTarget::start(any_port(), &id, &cluster.log, move |call| {
-                faulty_plain_reply(call, &fault_seed)
+                name_limit(limit.as_ref(), call, faulty_plain_reply(call, &fault_seed))
             });
             cluster.add_target(target.expect("the target starts"), "desk");
         }
         for index in 0..3 {
             let fault_seed = AtomicU64::new(seed * 11 + index);
             let id = format!("pool-{index}");
+            let limit = cluster.limits.get(&id).cloned();
             let target = PlainTarget::start(any_port(), &id, &cluster.log, move |call| {
-                faulty_stream_reply(call, &fault_seed)
+                name_limit(limit.as_ref(), call, faulty_stream_reply(call, &fault_seed))
             });
             cluster.add_target(target.expect("the engine starts"), "pool");
         }
@@ -181,8 +202,12 @@
                 let faults = [StoreFault::Busy, StoreFault::Reset, StoreFault::Silent];
                 self.store.set_fault(faults[rng.usize(0..faults.len())]);
             }
-            5 => self.gateways[index].signal(Signal::STOP),
-            6 | 7 => self.gateways[index].signal(Signal::CONT),
+            5 => {
+                let address = self.gateways[index].caller_address;
+                self.frozen.push((address, Instant::now(), None));
+                self.gateways[index].signal(Signal::STOP);
+            }
+            6 | 7 => self.resume_gateway(index),
             8 => self.replace_gateway(index),
             9 => self.publish_config(),
             10 => self.gateways[index].signal(Signal::HUP),
@@ -190,6 +215,15 @@
         }
     }
 
+    fn resume_gateway(&mut self, index: usize) {
+        let gateway = &self.gateways[index];
+        gateway.signal(Signal::CONT);
+        let freezes = self.frozen.iter_mut();
+        for (_, _, end) in freezes.filter(|(address, _, _)| *address == gateway.caller_address) {
+            end.get_or_insert_with(Instant::now);
+        }
+    }
+
     /// Starts a new gateway in place of another, which is killed.
     fn replace_gateway(&mut self, index: usize) {
         let gateway = self.start_gateway(index);
@@ -200,16 +234,43 @@
     }
 
     /// Removes the faults of the proxies and the store, and resumes stopped gateways.
-    fn clear_faults(&self) {
+    fn clear_faults(&mut self) {
         for proxy in self.target_proxies.iter().chain(&self.store_proxies) {
             proxy.set(LinkFault::None);
         }
         self.store.set_fault(StoreFault::None);
-        for gateway in &self.gateways {
-            gateway.signal(Signal::CONT);
+        for index in 0..GATEWAYS {
+            self.resume_gateway(index);
         }
     }
 
+    /// Checks that the targets with limits got no more requests than these allow.
+    /// Returns the largest number of requests in a window.
+    fn check_limits(&self, requests: &[ObservedRequest], senders: &SenderLog) -> usize {
+        let now = Instant::now();
+        let frozen = self.frozen.iter();
+        let frozen: Vec<_> = frozen
+            .map(|(address, from, until)| (*address, *from, until.unwrap_or(now)))
+            .collect();
+        let checks = self.limits.iter().map(|(target, limit)| {
+            let mut told_at = BTreeMap::new();
+            for request in requests {
+                let runs = self.log.runs_of(&request.id);
+                let names_limit = request.response.header(LIMIT_HEADER).is_some();
+                if names_limit && runs.iter().any(|run| run.target == *target) {
+                    let first = told_at.entry(request.gateway).or_insert(request.ended_at);
+                    *first = request.ended_at.min(*first);
+                }
+            }
+            limit.check(&GatewayHistory {
+                senders: senders.lock().expect("the lock is not poisoned").clone(),
+                told_at,
+                frozen: frozen.clone(),
+            })
+        });
+        checks.max().unwrap_or_default()
+    }
+
     /// Checks that each gateway applies a new version of the configuration and serves
     /// requests of all kinds.
     fn check_recovery(&mut self, prefix: &str) {
@@ -276,6 +337,14 @@
     request
 }
 
+fn name_limit(limit: Option<&LimitWatch>, call: &RawCall, reply: RawReply) -> RawReply {
+    let id = call.header("Attempt-Id").unwrap_or_default();
+    match limit {
+        Some(limit) => limit.name_in(id, reply),
+        None => reply,
+    }
+}
+
 /// Returns a complete response or, in 6 of 20 cases, a fault: a truncated, missing,
 /// malformed, failed or repeated response.
 fn faulty_plain_reply(call: &RawCall, fault_seed: &AtomicU64) -> RawReply {
@@ -317,6 +386,7 @@
     caller: usize,
     seed: u64,
     caller_addresses: &Mutex<Vec<SocketAddr>>,
+    senders: &SenderLog,
     stop: &AtomicBool,
 ) -> Vec<ObservedRequest> {
     let mut rng = Rng::with_seed(seed * 1_000 + caller as u64);
@@ -329,10 +399,17 @@
         let id = format!("s{seed}-{caller}-{count}");
         let address =
             caller_addresses.lock().expect("the lock is not poisoned")[rng.usize(0..GATEWAYS)];
-        let stream = idle_connection
-            .take()
-            .or_else(|| std::net::TcpStream::connect(address).ok());
-        let Some(mut stream) = stream else { continue };
+        let connection = idle_connection.take().or_else(|| {
+            let stream = std::net::TcpStream::connect(address).ok()?;
+            Some((stream, address))
+        });
+        let Some((mut stream, gateway)) = connection else {
+            continue;
+        };
+        senders
+            .lock()
+            .expect("the lock is not poisoned")
+            .insert(id.clone(), gateway);
         let read_timeout = Some(Duration::from_millis(2_500));
         stream
             .set_read_timeout(read_timeout)
@@ -347,9 +424,15 @@
         }
         let response = RawResponse::read(&mut stream);
         if response.is_complete && response.header("Connection") != Some("close") && rng.bool() {
-            idle_connection = Some(stream);
+            idle_connection = Some((stream, gateway));
         }
-        requests.push(ObservedRequest { id, kind, response });
+        requests.push(ObservedRequest {
+            id,
+            kind,
+            response,
+            gateway,
+            ended_at: Instant::now(),
+        });
     }
     requests
 }
@@ -365,7 +448,10 @@
         }
         assert_eq!(run.call.header("Tenant"), Some("inn"), "{id}");
     }
-    for ObservedRequest { id, kind, response } in requests {
+    for ObservedRequest {
+        id, kind, response, ..
+    } in requests
+    {
         let run_count = run_counts.get(id).copied().unwrap_or_default();
         if matches!(response.status, 408 | 421 | 429 | 503) {
             let may_repeat = matches!(*kind, "look" | "resume");
@@ -444,10 +530,12 @@
 fn soak(seed: u64, duration: Duration) {
     let mut cluster = SoakCluster::start(seed);
     let stop = Arc::new(AtomicBool::new(false));
+    let senders: Arc<SenderLog> = Arc::default();
     let callers: Vec<JoinHandle<Vec<ObservedRequest>>> = (0..CALLERS)
         .map(|index| {
             let (addresses, stop) = (Arc::clone(&cluster.caller_addresses), Arc::clone(&stop));
-            thread::spawn(move || send_requests(index, seed, &addresses, &stop))
+            let senders = Arc::clone(&senders);
+            thread::spawn(move || send_requests(index, seed, &addresses, &senders, &stop))
         })
         .collect();
     let mut rng = Rng::with_seed(seed);
@@ -462,6 +550,10 @@
         .into_iter()
         .map(|caller| caller.join().expect("the caller does not panic"));
     let requests: Vec<ObservedRequest> = callers.flatten().collect();
+    for limit in cluster.limits.values() {
+        limit.withdraw();
+    }
+    let most_limited = cluster.check_limits(&requests, &senders);
     let prefix = format!("s{seed}");
     cluster.check_recovery(&prefix);
     cluster.check_draining(&prefix);
@@ -470,7 +562,7 @@
         .iter()
         .filter(|request| request.response.status == 200 && request.response.is_complete);
     println!(
-        "soak: seed {seed}: {} requests, {} served",
+        "soak: seed {seed}: {} requests, {} served, {most_limited} of a limited target in 4 s",
         requests.len(),
         served.count()
     );
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -3,6 +3,8 @@
 
 #![allow(dead_code)] // Each test file uses a part of this module.
 
+pub mod limit_watch;
+
 use std::{
     fmt::Write as _,
     fs,
--- a/crates/gateway/tests/target_limits.rs
+++ b/crates/gateway/tests/target_limits.rs
@@ -47,7 +47,7 @@
     log: RunLog,
     limit: NamedLimit,
     _targets: Vec<PlainTarget>,
-    _store: StoreServer,
+    store: StoreServer,
 }
 
 impl LimitFixture {
@@ -80,7 +80,7 @@
             log,
             limit,
             _targets: targets,
-            _store: store,
+            store,
         }
     }
 
@@ -309,3 +309,46 @@
     let requests = limited.request_count() - before;
     assert_within_limit(requests, 1.0, 0.5, begun.elapsed());
 }
+
+#[test]
+fn limits_that_are_no_numbers_change_nothing() {
+    let fixture = LimitFixture::start("desk", 1, 0, signed);
+    let gateway = &fixture.gateways[0];
+    for (index, limit) in ["soon", "-1", "NaN", "inf", "1e3", "", "1.2.3"]
+        .into_iter()
+        .enumerate()
+    {
+        fixture.limit.set(Some(limit));
+        for number in 0..10 {
+            let id = format!("request-{index}-{number}");
+            let response = CallerRequest::new("POST", "/book/a", &id).fetch(gateway.caller_address);
+            assert_eq!(response.status, 200, "{limit:?}");
+        }
+        let error = format!("not a number of requests a second: {limit:?}");
+        gateway.wait_log_line(|line| line["error"] == error.as_str());
+        assert_eq!(gateway.metric("limited_targets"), Some(0.0), "{limit:?}");
+    }
+}
+
+#[test]
+fn later_run_under_the_same_identifier_has_no_limit() {
+    let fixture = LimitFixture::start("desk", 1, 1, signed);
+    fixture.name_limit("0.1", "POST", "/book/a");
+    let later = PlainTarget::start(any_port(), "limited0", &fixture.log, |call: &RawCall| {
+        PlainTarget::signed(call, "200 OK", b"again")
+    });
+    let later = later.expect("the target starts");
+    let record = json!({
+        "Service": "desk", "Address": later.server().address().to_string(), "Zone": "z1",
+        "Version": "v1", "Slots": 8, "State": "ready", "ColdLeftMs": 0, "Sequence": 1, "born": 2
+    });
+    fixture.store.put("servers/limited0", &record);
+    let before = fixture.limited_runs();
+    wait_for("requests at the later run", || {
+        for gateway in &fixture.gateways {
+            let id = format!("later-{}", fixture.log.runs().len());
+            CallerRequest::new("POST", "/book/a", &id).fetch(gateway.caller_address);
+        }
+        fixture.limited_runs() > before + 20
+    });
+}
