Wait for the log line that the seed test reads

node_that_starts_beside_a_seed_leaves_reading_to_it read the lines that its reading thread had by the time the gateway was ready, and panicked beside load when the line of the configuration was not among them (2 of 12 runs).

--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -390,12 +390,11 @@
         .collect();
     for other in &others {
         other.wait_ready();
+        // The test may read the line later than the gateway is seen to be ready.
+        let is_configured = |line: &Value| line["msg"] == "config: Version in force.";
+        other.wait_log_line(is_configured);
         let lines = other.log_lines();
-        let ready = lines
-            .iter()
-            .position(|line| line["msg"] == "config: Version in force.");
-        let until = ready.expect("a configuration");
-        let mut before = lines[..until].iter();
+        let mut before = lines.iter().take_while(|line| !is_configured(line));
         assert!(before.all(|line| line["msg"] != "news: Reads the store."));
     }
 }
