Send load until enough requests were answered whole, on slow machines too

promise_1_answers_of_other_requests_are_dropped asked for 20 whole answers in 2 s; the time says something of the machine, not of the promise: 14 of 92 beside load. The bound of 20 stays, so the check still can't pass on nothing; load goes on in periods of 2 s, ten at most, and each period is audited.

--- a/crates/e2e/tests/promise_1.rs
+++ b/crates/e2e/tests/promise_1.rs
@@ -13,10 +13,12 @@
 use verbenahub_standins::server::FaultSpec;
 
 const STREAMS: [SamplePipeline; 2] = [SamplePipeline::Chat, SamplePipeline::Survey];
-/// How long requests are sent.
+/// How long requests are sent at least.
 const LOAD_TIME: Duration = Duration::from_secs(2);
 /// Requests that were answered whole under load, at least.
 const WHOLE_REQUESTS: usize = 20;
+/// Periods of load in which a slow machine may get that far.
+const MAX_PERIODS: usize = 10;
 
 fn start() -> RunningCluster {
     let fast = ["--token-ms", "0.5"];
@@ -24,17 +26,25 @@
     plan.arguments(TargetPool::Engines, &fast).start()
 }
 
-/// Sends requests for a while and audits them.
-fn audit_load(cluster: &RunningCluster, label: &str) -> AuditReport {
+/// Sends requests for a while, and on until enough of them were answered whole, and
+/// audits all of them.
+fn audit_load(cluster: &RunningCluster, label: &str) {
     let balancer = cluster.balancer();
-    let group = CallerGroup::start(label, &balancer, &STREAMS, 4);
-    thread::sleep(LOAD_TIME);
-    let sent = group.stop();
-    let report = AuditReport::of_cluster(cluster, &sent);
-    println!("{label}: {} of {} whole", report.whole, report.requests);
-    assert!(report.breaches.is_empty(), "{:#?}", report.breaches);
-    assert!(report.whole >= WHOLE_REQUESTS);
-    report
+    let mut whole = 0;
+    for period in 0..MAX_PERIODS {
+        let label = format!("{label} {period}");
+        let group = CallerGroup::start(&label, &balancer, &STREAMS, 4);
+        thread::sleep(LOAD_TIME);
+        let sent = group.stop();
+        let report = AuditReport::of_cluster(cluster, &sent);
+        println!("{label}: {} of {} whole", report.whole, report.requests);
+        assert!(report.breaches.is_empty(), "{:#?}", report.breaches);
+        whole += report.whole;
+        if whole >= WHOLE_REQUESTS {
+            return;
+        }
+    }
+    panic!("{label}: {whole} of {WHOLE_REQUESTS} requests whole");
 }
 
 /// Puts faults into the first replica of each pool.
