Give each type of the permits a file, and the tests of targets one fixture

Moves without a change of behaviour: the messages and requests of permits, the time until a target opens, and the records of targets in three test files.

--- a/crates/core/tests/permit_simulation.rs
+++ b/crates/core/tests/permit_simulation.rs
@@ -1,14 +1,17 @@
 //! Permits for a target with a limit, played in virtual time over a fleet: calm,
 //! with lost messages, with an owner that is lost again and again, and split.
 
+mod target_fixture;
+
 use std::{collections::VecDeque, sync::Arc};
 
 use fastrand::Rng;
+use target_fixture::{at, record};
 use verbenahub_core::{
     clock::{ClockTime, TimeSpan},
     fleet::{FleetMember, FleetTable},
-    ids::{EraNumber, IncarnationNumber, NodeId, PoolName, StoreRevision, TargetId, ZoneName},
-    targets::{PermitDecision, PermitLedger, RequestLimit, TargetRecord, TargetState},
+    ids::{IncarnationNumber, NodeId},
+    targets::{PermitDecision, PermitLedger, RequestLimit, TargetRecord},
     units::RateLimit,
 };
 
@@ -60,23 +63,6 @@
     questions: usize,
 }
 
-fn at(millis: u64) -> ClockTime {
-    ClockTime::from_millis(millis)
-}
-
-fn target() -> Arc<TargetRecord> {
-    Arc::new(TargetRecord {
-        id: TargetId::new("t1").expect("a valid target identifier"),
-        service: PoolName::new("pool").expect("a valid pool name"),
-        address: "10.0.0.1:80".parse().expect("a valid address"),
-        zone: ZoneName::new("z1").expect("a valid zone name"),
-        slots: 8,
-        state: TargetState::Ready,
-        started_at: Some(1),
-        revision: StoreRevision::new(EraNumber::ZERO, 1),
-    })
-}
-
 fn member(index: usize, heartbeat: u64) -> FleetMember {
     FleetMember {
         node: NodeId::new(&format!("n{index:04}")).expect("a valid node identifier"),
@@ -105,7 +91,7 @@
         });
         Self {
             nodes: nodes.collect(),
-            record: target(),
+            record: record("t1", Some(1)),
             limit: limit.to_string().parse().expect("a valid limit"),
             trouble,
             rng: Rng::with_seed(seed),
@@ -282,7 +268,8 @@
 
 #[test]
 fn shares_that_were_not_used_for_long_grant_no_burst() {
-    let (record, rate) = (target(), RateLimit::per_second(1.0).expect("a valid rate"));
+    let rate = RateLimit::per_second(1.0).expect("a valid rate");
+    let record = record("t1", Some(1));
     let mut shares = PermitLedger::for_shares();
     let ask = |shares: &mut PermitLedger, now: u64| {
         let decision = shares.acquire(&record, rate, TimeSpan::ZERO, at(now));
--- a/crates/core/tests/target_limits.rs
+++ b/crates/core/tests/target_limits.rs
@@ -1,34 +1,17 @@
 //! Limits on the rate of requests that targets name in responses.
 
-use std::sync::Arc;
+mod target_fixture;
 
+use target_fixture::{at, record};
 use verbenahub_core::{
-    clock::{ClockTime, TimeSpan},
-    ids::{EraNumber, PoolName, StoreRevision, TargetId, ZoneName},
-    targets::{RequestLimit, ReturnSchedule, TargetLimits, TargetRecord, TargetState},
+    clock::TimeSpan,
+    targets::{RequestLimit, ReturnSchedule, TargetLimits},
 };
 
-fn at(millis: u64) -> ClockTime {
-    ClockTime::from_millis(millis)
-}
-
 fn limit(text: &str) -> RequestLimit {
     text.parse().expect("a valid limit")
 }
 
-fn record(id: &str, started_at: Option<u64>) -> Arc<TargetRecord> {
-    Arc::new(TargetRecord {
-        id: TargetId::new(id).expect("a valid target identifier"),
-        service: PoolName::new("pool").expect("a valid pool name"),
-        address: "10.0.0.1:80".parse().expect("a valid address"),
-        zone: ZoneName::new("z1").expect("a valid zone name"),
-        slots: 8,
-        state: TargetState::Ready,
-        started_at,
-        revision: StoreRevision::new(EraNumber::ZERO, 1),
-    })
-}
-
 #[test]
 fn limit_is_a_plain_decimal_number() {
     for (text, rate) in [
--- a/crates/core/tests/target_notices.rs
+++ b/crates/core/tests/target_notices.rs
@@ -1,36 +1,21 @@
 //! What targets announce in responses: that they are leaving, and how long they
 //! want no requests.
 
+mod target_fixture;
+
 use std::sync::Arc;
 
+use target_fixture::{at, record};
 use verbenahub_core::{
-    clock::{ClockTime, TimeSpan},
-    ids::{EraNumber, PoolName, StoreRevision, TargetId, ZoneName},
+    clock::TimeSpan,
     policy::retry::AttemptBudget,
-    targets::{LeavingTargets, RetryAfter, TargetCriteria, TargetLoads, TargetRecord, TargetState},
+    targets::{LeavingTargets, RetryAfter, TargetCriteria, TargetLoads, TargetRecord},
 };
 
-fn at(millis: u64) -> ClockTime {
-    ClockTime::from_millis(millis)
-}
-
 fn ms(millis: u64) -> TimeSpan {
     TimeSpan::from_millis(millis)
 }
 
-fn record(id: &str, started_at: Option<u64>) -> Arc<TargetRecord> {
-    Arc::new(TargetRecord {
-        id: TargetId::new(id).expect("a valid target identifier"),
-        service: PoolName::new("pool").expect("a valid pool name"),
-        address: "10.0.0.1:80".parse().expect("a valid address"),
-        zone: ZoneName::new("z1").expect("a valid zone name"),
-        slots: 8,
-        state: TargetState::Ready,
-        started_at,
-        revision: StoreRevision::new(EraNumber::ZERO, 1),
-    })
-}
-
 #[test]
 fn retry_after_accepts_only_a_number_of_seconds() {
     let day = 24 * 60 * 60 * 1_000;
--- a/crates/gateway/src/front/target_sender.rs
+++ b/crates/gateway/src/front/target_sender.rs
@@ -200,15 +200,9 @@
         let Some(proof) = self.history.prove_not_run() else {
             return self.failure_response("over_limit");
         };
-        let now = self.shared.now();
-        let open = self
-            .shared
-            .loads
-            .borrow()
-            .shortest_backoff(&candidates, now);
-        let left = self.request.time_left(now);
+        let left = self.request.time_left(self.shared.now());
         let service = &self.request.service;
-        let least = open.unwrap_or_default();
+        let least = self.closed_for(&candidates).unwrap_or_default();
         let wait = self.shared.assign_return(service, rate, least, left);
         GatewayResponse::over_limit(proof, wait)
     }
@@ -221,17 +215,19 @@
     /// Returns the gateway's own response if the request can't be served.
     pub(super) fn check_open(&self) -> Result<(), GatewayResponse> {
         let candidates = self.shared.ready_targets(&self.request.service);
-        let now = self.shared.now();
-        let closed = self
-            .shared
-            .loads
-            .borrow()
-            .shortest_backoff(&candidates, now);
-        let half_left = now.until(self.request.first_event_deadline()).as_millis() / 2;
-        if closed.is_some_and(|closed| closed > TimeSpan::from_millis(half_left)) {
-            return Err(self.no_target_response());
+        let left = self.shared.now().until(self.request.first_event_deadline());
+        let longest = TimeSpan::from_millis(left.as_millis() / 2);
+        match self.closed_for(&candidates) {
+            Some(closed_for) if closed_for > longest => Err(self.no_target_response()),
+            _ => Ok(()),
         }
-        Ok(())
+    }
+
+    /// Time until the first of the candidates may get requests again, if none of
+    /// them may now.
+    fn closed_for(&self, candidates: &[Arc<TargetRecord>]) -> Option<TimeSpan> {
+        let loads = self.shared.loads.borrow();
+        loads.shortest_backoff(candidates, self.shared.now())
     }
 
     /// The gateway's own response to a request that is not sent any more.
@@ -249,9 +245,8 @@
     /// first target accepts requests again, plus jitter.
     fn retry_after(&self) -> TimeSpan {
         let candidates = self.shared.ready_targets(&self.request.service);
-        let loads = self.shared.loads.borrow();
-        let closed = loads.shortest_backoff(&candidates, self.shared.now());
-        let least = closed.unwrap_or_default().max(MIN_REFUSED_RETRY_AFTER);
+        let closed_for = self.closed_for(&candidates).unwrap_or_default();
+        let least = closed_for.max(MIN_REFUSED_RETRY_AFTER);
         let most_extra = least.as_millis() * RETRY_JITTER_PERCENT / 100;
         least + TimeSpan::from_millis(self.shared.random() % (most_extra + 1))
     }
--- a/crates/gateway/src/targets/mod.rs
+++ b/crates/gateway/src/targets/mod.rs
@@ -4,7 +4,10 @@
 mod connection_pool;
 mod memory_reservation;
 mod permit_client;
-mod permit_message;
+mod permit_denied;
+mod permit_query;
+mod permit_reply;
+mod permit_request;
 mod response_memory;
 mod send_error;
 mod send_permit;
@@ -15,8 +18,11 @@
     call_purpose::CallPurpose,
     connection_pool::ConnectionPool,
     memory_reservation::MemoryReservation,
-    permit_client::{PermitClient, PermitDenied, PermitRequest},
-    permit_message::{PermitQuery, PermitReply},
+    permit_client::PermitClient,
+    permit_denied::PermitDenied,
+    permit_query::PermitQuery,
+    permit_reply::PermitReply,
+    permit_request::PermitRequest,
     response_memory::ResponseMemory,
     send_error::SendError,
     send_permit::SendPermit,
--- a/crates/gateway/src/targets/permit_client.rs
+++ b/crates/gateway/src/targets/permit_client.rs
@@ -8,7 +8,7 @@
     units::RateLimit,
 };
 
-use super::{CallPurpose, PermitQuery, PermitReply, SendPermit, within};
+use super::{PermitDenied, PermitQuery, PermitReply, PermitRequest, SendPermit, within};
 use crate::{
     peers::{PERMIT_PATH, PeerError},
     process::Shared,
@@ -19,26 +19,6 @@
 /// How long a node that did not answer isn't asked again.
 const UNRESPONSIVE_BACKOFF: TimeSpan = TimeSpan::from_millis(500);
 
-/// A call would exceed the limit of its target.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct PermitDenied {
-    /// Time after which a permit may be available.
-    pub retry_after: TimeSpan,
-}
-
-/// A call for which a permit is requested.
-#[derive(Clone, Copy, Debug)]
-pub struct PermitRequest<'a> {
-    /// The target to be called.
-    pub record: &'a Arc<TargetRecord>,
-    /// What the call is for.
-    pub purpose: CallPurpose,
-    /// Identifier of the caller's request, if the call belongs to one.
-    pub request: Option<&'a str>,
-    /// Longest wait for the permit.
-    pub patience: TimeSpan,
-}
-
 /// Obtains permits for calls to targets, and grants them for the targets that this
 /// node owns.
 ///
@@ -204,7 +184,6 @@
         let notice = shared.limits.borrow().notice_of(request.record, now)?;
         let address = shared.fleet.borrow().address_of(owner)?;
         let query = PermitQuery {
-            service: request.record.service.clone(),
             notice,
             patience: request.patience,
         };
--- a/crates/gateway/tests/target_limits.rs
+++ b/crates/gateway/tests/target_limits.rs
@@ -46,7 +46,7 @@
     gateways: Vec<GatewayProcess>,
     log: RunLog,
     limit: NamedLimit,
-    _targets: Vec<PlainTarget>,
+    targets: Vec<PlainTarget>,
     store: StoreServer,
 }
 
@@ -79,7 +79,7 @@
             gateways,
             log,
             limit,
-            _targets: targets,
+            targets,
             store,
         }
     }
@@ -332,8 +332,9 @@
 
 #[test]
 fn later_run_under_the_same_identifier_has_no_limit() {
-    let fixture = LimitFixture::start("desk", 1, 1, signed);
+    let mut fixture = LimitFixture::start("desk", 1, 1, signed);
     fixture.name_limit("0.1", "POST", "/book/a");
+    drop(fixture.targets.remove(0));
     let later = PlainTarget::start(any_port(), "limited0", &fixture.log, |call: &RawCall| {
         PlainTarget::signed(call, "200 OK", b"again")
     });
