Log and count how far an answer had come when it broke off

Callers of the deadly prompt incident saw streams break; the output could not tell whether one request was the cause, since no line named the parts of a prompt or the phase of the answer. Both are logged and counted now; no decision changes.

--- a/crates/gateway/src/front/active_request.rs
+++ b/crates/gateway/src/front/active_request.rs
@@ -6,6 +6,7 @@
     ids::{PoolName, WorkspaceId},
     routes::{RouteConfig, RouteSpec},
 };
+use verbenahub_platform::headers;
 
 use crate::http::RequestHead;
 
@@ -13,6 +14,9 @@
 /// the response back.
 const FIRST_EVENT_MARGIN: TimeSpan = TimeSpan::from_millis(50);
 
+/// Maximum length of a prompt's list of parts in log lines, in characters.
+const MAX_LOGGED_PROMPT: usize = 256;
+
 /// A request that matched a route and passed authentication.
 #[derive(Debug)]
 pub struct ActiveRequest {
@@ -47,6 +51,13 @@
         now.until(self.deadline)
     }
 
+    /// The parts of the prompt as the caller named them, for log lines.
+    #[must_use]
+    pub fn prompt_text(&self) -> Option<String> {
+        let text = self.head.headers.text(headers::PROMPT_PARTS)?;
+        Some(text.chars().take(MAX_LOGGED_PROMPT).collect())
+    }
+
     /// Latest time for the first event of a stream, since callers abandon silent
     /// streams.
     #[must_use]
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -1,6 +1,7 @@
 //! Connections of callers, and the handling of their requests.
 
 mod active_request;
+mod answer_phase;
 mod caller_connection;
 mod caller_listener;
 mod event_splitter;
--- a/crates/gateway/src/front/stream_flow.rs
+++ b/crates/gateway/src/front/stream_flow.rs
@@ -8,7 +8,8 @@
 
 use super::{
     ActiveRequest, EventSplitter, GatewayResponse, RequestEnd, TargetResponse,
-    event_splitter::event_id, plain_flow::read_response, target_sender::TargetSender,
+    answer_phase::AnswerPhase, event_splitter::event_id, plain_flow::read_response,
+    target_sender::TargetSender,
 };
 use crate::{
     http::HttpStream,
@@ -39,6 +40,8 @@
     result_guard: Option<ResultGuard>,
     splitter: EventSplitter,
     last_event: Option<String>,
+    /// When the first event of the current target's answer arrived.
+    begun_at: Option<ClockTime>,
 }
 
 /// How the stream of one target ended.
@@ -88,6 +91,7 @@
         result_guard,
         splitter: EventSplitter::default(),
         last_event: None,
+        begun_at: None,
     }))
 }
 
@@ -122,7 +126,10 @@
                     self.exchange.cancel();
                     return RequestEnd::interrupted("time_over", Some(status), String::new());
                 }
-                EventsEnd::Failed(error) => error.to_string(),
+                EventsEnd::Failed(error) => {
+                    self.record_failure(&error);
+                    error.to_string()
+                }
                 EventsEnd::Stalled => "silent".to_owned(),
             };
             slog::warn!(shared.log, "request: Stream broke.";
@@ -154,9 +161,19 @@
             return false;
         }
         self.exchange = exchange;
+        self.begun_at = None;
         true
     }
 
+    /// Records how far the answer had come if it broke off with its connection.
+    fn record_failure(&self, error: &SendError) {
+        let phase = AnswerPhase::of_stream(self.begun_at, self.sender.shared.now());
+        if let SendError::ConnectionLost(reason) = error {
+            let record = self.exchange.record();
+            self.sender.record_broken_answer(record, phase, reason);
+        }
+    }
+
     /// Runs the stages again if their results were released. Returns whether the
     /// results are available.
     async fn restore_inputs(&mut self) -> bool {
@@ -232,8 +249,11 @@
     }
 
     fn record_event(&mut self, event: &Bytes) {
+        let shared = self.sender.shared;
+        if self.begun_at.is_none() {
+            self.begun_at = Some(shared.now());
+        }
         if self.last_event.is_none() {
-            let shared = self.sender.shared;
             let request = self.sender.request;
             let took = shared.now().since(request.received_at);
             let kind = request.route.name.as_str();
--- a/crates/gateway/src/front/target_sender.rs
+++ b/crates/gateway/src/front/target_sender.rs
@@ -12,6 +12,7 @@
 
 use super::{
     ActiveRequest, GatewayResponse,
+    answer_phase::AnswerPhase,
     forward_headers::{ForwardExtras, forward_headers},
 };
 use crate::{
@@ -333,9 +334,29 @@
             "targets_revision" => %record.revision, "left" => %left,
             "chooser" => self.assignment.as_ref().map(|assignment| assignment.chooser().to_string()),
             "took" => %self.shared.now().since(begun));
+        if let Err(SendError::ConnectionLost(reason)) = &result {
+            self.record_broken_answer(record, AnswerPhase::Sent, reason);
+        }
         result
     }
 
+    /// Logs and counts an answer that broke off with its connection.
+    pub(super) fn record_broken_answer(
+        &self,
+        record: &TargetRecord,
+        phase: AnswerPhase,
+        reason: &str,
+    ) {
+        let (shared, request) = (self.shared, self.request);
+        let answers = &shared.metrics.broken_answers;
+        answers
+            .with_label_values(&[request.service.as_str(), phase.label()])
+            .inc();
+        slog::warn!(shared.log, "request: Answer broke off.";
+            "request" => &request.id, "target" => %record.id, "started_at" => record.started_at,
+            "phase" => %phase, "prompt" => request.prompt_text(), "reason" => reason);
+    }
+
     /// Timeout for the head of the response: all the time left, or less if the
     /// request can still be sent to another target.
     fn head_timeout(&self, left: TimeSpan) -> TimeSpan {
--- a/crates/gateway/src/process/gateway_metrics.rs
+++ b/crates/gateway/src/process/gateway_metrics.rs
@@ -25,6 +25,8 @@
     pub first_event_seconds: HistogramVec,
     /// Attempts at targets, by service and result.
     pub attempts: IntCounterVec,
+    /// Answers that broke off, by service and how far the target had come.
+    pub broken_answers: IntCounterVec,
     /// Requests sent to targets that had named a limit, by service and purpose of the
     /// request.
     pub limited_sends: IntCounterVec,
@@ -90,6 +92,12 @@
                 "Attempts at targets",
                 &["service", "end"],
             )?,
+            broken_answers: counters(
+                registry_ref,
+                "broken_answers",
+                "Answers that broke off",
+                &["service", "phase"],
+            )?,
             limited_sends: counters(
                 registry_ref,
                 "limited_sends",
