Quarantine parts of prompts that crash engines, at all nodes

Cause: a failure counted against the target alone. No node knew which requests were at an engine when it crashed, and what a node saw stayed with it. Ruled out: retries (one second attempt in 27 crashes) and load (engines crashed with one request in flight).

Each node reports the parts of requests whose answer had not settled when the connection broke to one node, found by rendezvous hashing. That node asks all others when they last saw the suspected parts answered, and quarantines the one with three separate crashes and no answer since. The verdict goes to all nodes at once and by gossip. Requests with the part are rejected before their stages; a request that may have crashed an engine is sent again once at most. Reports are kept and sent to the next deciding node. A stream without a length that ends before its first event is broken.

--- a/crates/core/src/fleet/fleet_table.rs
+++ b/crates/core/src/fleet/fleet_table.rs
@@ -5,7 +5,7 @@
 use super::FleetMember;
 use crate::{
     clock::{ClockTime, TimeSpan},
-    ids::NodeId,
+    ids::{IncarnationNumber, NodeId},
     policy::numbers,
 };
 
@@ -211,6 +211,15 @@
         self.others.get(node).map(|known| known.member.address)
     }
 
+    /// Returns the incarnation of a member, this node included.
+    #[must_use]
+    pub fn incarnation_of(&self, node: &NodeId) -> Option<IncarnationNumber> {
+        if *node == self.own.node {
+            return Some(self.own.incarnation);
+        }
+        self.others.get(node).map(|known| known.member.incarnation)
+    }
+
     /// Chooses another member at random to gossip with. Members whose heartbeat
     /// has timed out are included, so that the end of a network partition is
     /// detected.
--- a/crates/core/src/policy/mod.rs
+++ b/crates/core/src/policy/mod.rs
@@ -1,5 +1,5 @@
 //! Decisions under load and failures: admission, routing, retries, rate limits,
-//! health and placement.
+//! health, placement and the quarantine of prompts that crash engines.
 //!
 //! Nothing here performs I/O. A caller passes events, the current time and a
 //! random seed, and gets a decision. State shared by requests is kept in
@@ -9,6 +9,7 @@
 pub mod health;
 pub mod limits;
 pub mod placement;
+pub mod quarantine;
 pub mod retry;
 pub mod routing;
 
--- a/crates/gateway/src/front/active_request.rs
+++ b/crates/gateway/src/front/active_request.rs
@@ -4,6 +4,7 @@
 use verbenahub_core::{
     clock::{ClockTime, TimeSpan},
     ids::{PoolName, WorkspaceId},
+    policy::quarantine::PartKey,
     routes::{RouteConfig, RouteSpec},
 };
 use verbenahub_platform::headers;
@@ -37,6 +38,8 @@
     pub route: Arc<RouteSpec>,
     /// Service chosen by the route's traffic split.
     pub service: PoolName,
+    /// Parts of the prompt that other requests may share: all but the last one.
+    pub shared_parts: Vec<PartKey>,
     /// Workspace of the caller, if the request was authenticated.
     pub workspace: Option<WorkspaceId>,
     /// Configuration at the time of arrival, which the request keeps until it
--- a/crates/gateway/src/front/gateway_response.rs
+++ b/crates/gateway/src/front/gateway_response.rs
@@ -47,6 +47,18 @@
         }
     }
 
+    /// The request was not run because a part of its prompt crashes engines. It won't
+    /// be run before the quarantine of that part ends.
+    #[must_use]
+    // The proof is consumed, as in `not_run`.
+    #[allow(clippy::needless_pass_by_value)]
+    pub fn quarantined(_proof: NotRunProof, retry_after: TimeSpan) -> Self {
+        Self {
+            retry_after: Some(retry_after.max(MIN_RETRY_AFTER)),
+            ..Self::new(503, "Service Unavailable", "quarantined")
+        }
+    }
+
     /// The request may have run; the target's response was lost.
     #[must_use]
     pub const fn outcome_unknown() -> Self {
--- a/crates/gateway/src/front/plain_flow.rs
+++ b/crates/gateway/src/front/plain_flow.rs
@@ -1,7 +1,12 @@
+use std::sync::Arc;
+
 use verbenahub_core::policy::health::CallOutcome;
 use verbenahub_platform::headers;
 
-use super::{ActiveRequest, GatewayResponse, TargetResponse, target_sender::TargetSender};
+use super::{
+    ActiveRequest, GatewayResponse, TargetResponse, answer_phase::AnswerPhase,
+    target_sender::TargetSender,
+};
 use crate::{
     process::Shared,
     targets::{SendError, TargetExchange, within},
@@ -28,8 +33,19 @@
             Err(response) => return failure.ok_or(response),
         };
         let left = request.time_left(shared.now());
+        let record = Arc::clone(exchange.record());
         let response = within(left, read_response(exchange)).await;
         sender.history.record_may_have_run();
+        match &response {
+            Some(Ok(response)) if response.head.status < FAILURE_STATUS => {
+                let quarantine = &shared.quarantine;
+                quarantine.record_answer(&request.shared_parts, shared.now());
+            }
+            Some(Err(SendError::ConnectionLost(reason))) => {
+                sender.record_broken_answer(&record, AnswerPhase::Head, reason);
+            }
+            Some(Ok(_) | Err(_)) | None => {}
+        }
         match response {
             Some(Ok(response)) if response.head.status < FAILURE_STATUS => return Ok(response),
             Some(Ok(response)) => {
@@ -41,7 +57,7 @@
             Some(Err(error)) => {
                 slog::warn!(shared.log, "request: Response of the target is unusable.";
                     "request" => &request.id, "error" => %error);
-                if !sender.may_retry() {
+                if !sender.may_repeat().await {
                     return failure.ok_or_else(|| sender.failure_response("target_failed"));
                 }
             }
--- a/crates/gateway/src/front/request_resolver.rs
+++ b/crates/gateway/src/front/request_resolver.rs
@@ -1,9 +1,10 @@
 use bytes::Bytes;
 use verbenahub_core::{
     clock::{ClockTime, TimeSpan},
+    policy::quarantine::PartKey,
     routes::{AuthResult, SendHistory},
 };
-use verbenahub_platform::headers;
+use verbenahub_platform::{decode_prompt_parts, headers};
 
 use super::{ActiveRequest, GatewayResponse};
 use crate::{http::RequestHead, process::Shared};
@@ -12,6 +13,9 @@
 /// other nodes do.
 const NOT_CURRENT_RETRY_AFTER: TimeSpan = TimeSpan::from_millis(300);
 
+/// Maximum number of parts of a prompt that are tracked.
+const MAX_TRACKED_PARTS: usize = 32;
+
 /// Finds the route of a request, authenticates the caller and chooses the
 /// service, all by the same version of the configuration.
 ///
@@ -64,6 +68,7 @@
         received_at,
         route,
         service,
+        shared_parts: shared_parts(&head),
         workspace,
         config,
         head,
@@ -71,6 +76,18 @@
     })
 }
 
+/// Keys of the parts of the prompt without the last one.
+fn shared_parts(head: &RequestHead) -> Vec<PartKey> {
+    let text = head.headers.text(headers::PROMPT_PARTS);
+    let Some(parts) = text.and_then(decode_prompt_parts) else {
+        return Vec::new();
+    };
+    let model = head.headers.text(headers::MODEL).unwrap_or_default();
+    let shared = parts.iter().take(parts.len().saturating_sub(1));
+    let keys = shared.take(MAX_TRACKED_PARTS);
+    keys.map(|part| PartKey::new(model, part)).collect()
+}
+
 fn caller_api_key(head: &RequestHead) -> Option<&[u8]> {
     let value = head.headers.get(headers::AUTHORIZATION)?;
     let (scheme, key) = value.split_at_checked(headers::AUTH_SCHEME.len())?;
--- a/crates/gateway/src/front/stream_flow.rs
+++ b/crates/gateway/src/front/stream_flow.rs
@@ -1,3 +1,5 @@
+use std::sync::Arc;
+
 use bytes::{BufMut, Bytes, BytesMut};
 use verbenahub_core::{
     clock::{ClockTime, TimeSpan},
@@ -42,6 +44,8 @@
     last_event: Option<String>,
     /// When the first event of the current target's answer arrived.
     begun_at: Option<ClockTime>,
+    /// Whether the current target's answer was recorded as settled.
+    is_answered: bool,
 }
 
 /// How the stream of one target ended.
@@ -60,6 +64,9 @@
     request: &'a ActiveRequest,
 ) -> StreamStart<'a> {
     let mut sender = TargetSender::new(shared, request);
+    if let Err(response) = sender.check_quarantine() {
+        return StreamStart::Gateway(response);
+    }
     let mut result_guard = None;
     if !request.route.stages.is_empty() {
         if let Err(response) = sender.check_open() {
@@ -78,8 +85,12 @@
         Err(response) => return StreamStart::Gateway(response),
     };
     if !is_event_stream(&exchange) {
+        let record = Arc::clone(exchange.record());
         let response = within(request.time_left(shared.now()), read_response(exchange)).await;
         sender.history.record_may_have_run();
+        if let Some(Err(SendError::ConnectionLost(reason))) = &response {
+            sender.record_broken_answer(&record, AnswerPhase::Head, reason);
+        }
         return match response {
             Some(Ok(response)) => StreamStart::Target(response),
             Some(Err(_)) | None => StreamStart::Gateway(sender.failure_response("target_failed")),
@@ -92,6 +103,7 @@
         splitter: EventSplitter::default(),
         last_event: None,
         begun_at: None,
+        is_answered: false,
     }))
 }
 
@@ -147,7 +159,7 @@
     async fn resume(&mut self) -> bool {
         self.sender.history.record_may_have_run();
         self.splitter.clear();
-        if !self.sender.request.route.resumable || !self.sender.may_retry() {
+        if !self.sender.request.route.resumable || !self.sender.may_repeat().await {
             return false;
         }
         if !self.restore_inputs().await {
@@ -162,15 +174,16 @@
         }
         self.exchange = exchange;
         self.begun_at = None;
+        self.is_answered = false;
         true
     }
 
     /// Records how far the answer had come if it broke off with its connection.
-    fn record_failure(&self, error: &SendError) {
+    fn record_failure(&mut self, error: &SendError) {
         let phase = AnswerPhase::of_stream(self.begun_at, self.sender.shared.now());
         if let SendError::ConnectionLost(reason) = error {
-            let record = self.exchange.record();
-            self.sender.record_broken_answer(record, phase, reason);
+            let record = Arc::clone(self.exchange.record());
+            self.sender.record_broken_answer(&record, phase, reason);
         }
     }
 
@@ -250,8 +263,10 @@
 
     fn record_event(&mut self, event: &Bytes) {
         let shared = self.sender.shared;
-        if self.begun_at.is_none() {
-            self.begun_at = Some(shared.now());
+        let now = shared.now();
+        let begun_at = *self.begun_at.get_or_insert(now);
+        if AnswerPhase::of_stream(Some(begun_at), now) == AnswerPhase::Settled {
+            self.record_answer();
         }
         if self.last_event.is_none() {
             let request = self.sender.request;
@@ -273,8 +288,18 @@
             .or(Some(String::new()));
     }
 
+    /// Records that the target has answered the request without a crash.
+    fn record_answer(&mut self) {
+        if !self.is_answered {
+            self.is_answered = true;
+            let (shared, request) = (self.sender.shared, self.sender.request);
+            let quarantine = &shared.quarantine;
+            quarantine.record_answer(&request.shared_parts, shared.now());
+        }
+    }
+
     /// Handles the end of the target's response. The stream is complete unless it
-    /// ended within an event.
+    /// ended within an event, or its connection ended before the first one.
     fn finish(&mut self) -> EventsEnd {
         if self.splitter.has_partial_event() {
             self.exchange.set_outcome(CallOutcome::Failed);
@@ -282,6 +307,15 @@
                 "ended inside an event".to_owned(),
             ));
         }
+        if self.begun_at.is_none() {
+            if self.exchange.ends_with_connection() {
+                self.exchange.set_outcome(CallOutcome::Failed);
+                let reason = "ended before the first event".to_owned();
+                return EventsEnd::Failed(SendError::ConnectionLost(reason));
+            }
+        } else {
+            self.record_answer();
+        }
         EventsEnd::Complete
     }
 }
--- a/crates/gateway/src/front/target_sender.rs
+++ b/crates/gateway/src/front/target_sender.rs
@@ -31,6 +31,9 @@
 const MAX_TRIES: usize = 4;
 /// Maximum number of targets per request whose limits turn out to be used up.
 const MAX_DENIALS: usize = 4;
+/// Maximum number of targets that a request may have crashed and is still sent
+/// again.
+const MAX_CRASHES: usize = 1;
 /// Timeout for the body of a refusal. It arrives at once or isn't worth waiting
 /// for, since it is only read so that the connection can be reused.
 const REFUSAL_TIMEOUT: TimeSpan = TimeSpan::from_millis(100);
@@ -55,6 +58,8 @@
     pub(super) inputs: Option<Vec<String>>,
     /// Zones that hold these results, the one with the most first.
     results: Vec<ZoneResults>,
+    /// Number of targets that the request may have crashed.
+    crashes: usize,
     /// Engine that the choosing node assigned to the prompt, if any.
     assignment: Option<EngineAssignment>,
 }
@@ -67,6 +72,7 @@
             history: SendHistory::default(),
             inputs: None,
             results: Vec::new(),
+            crashes: 0,
             assignment: None,
         }
     }
@@ -140,6 +146,7 @@
     ) -> Result<TargetExchange, GatewayResponse> {
         let mut denials = 0;
         loop {
+            self.check_quarantine()?;
             let Some(record) = self.choose_target().await else {
                 return Err(self.no_target_response());
             };
@@ -151,6 +158,10 @@
                 }
                 continue;
             };
+            if let Err(response) = self.check_quarantine() {
+                self.end_assignment(PromptStep::Ended);
+                return Err(response);
+            }
             match self.attempt(permit, last_event).await {
                 Ok(exchange) => {
                     let refused = exchange.head.headers.get(headers::NOT_RUN).is_some();
@@ -183,7 +194,7 @@
                 Err(_) => {
                     self.end_assignment(PromptStep::Failed);
                     self.history.record_may_have_run();
-                    if !self.may_retry() {
+                    if !self.may_repeat().await {
                         return Err(self.failure_response("target_failed"));
                     }
                 }
@@ -191,6 +202,44 @@
         }
     }
 
+    /// Whether the request may be sent again after an engine may have run it. A
+    /// request that may have crashed the engine is sent again once at most, and only
+    /// if no part of its prompt is suspected.
+    pub(super) async fn may_repeat(&mut self) -> bool {
+        if self.may_send() && self.crashes > 0 {
+            let (shared, parts) = (self.shared, &self.request.shared_parts);
+            let is_blameless = self.crashes <= MAX_CRASHES
+                && shared.crash_reporter.are_blameless(shared, parts).await;
+            if !is_blameless {
+                slog::info!(shared.log, "request: Not sent again, it may crash engines.";
+                    "request" => &self.request.id, "crashes" => self.crashes);
+                return false;
+            }
+        }
+        self.may_retry()
+    }
+
+    /// Rejects a request with a part that crashes engines.
+    ///
+    /// # Errors
+    ///
+    /// Returns the gateway's own response if the request has such a part.
+    pub(super) fn check_quarantine(&self) -> Result<(), GatewayResponse> {
+        let (shared, request) = (self.shared, self.request);
+        let parts = &request.shared_parts;
+        let Some((part, left)) = shared.quarantine.time_left(parts, shared.now()) else {
+            return Ok(());
+        };
+        let position = parts.iter().position(|other| *other == part);
+        slog::info!(shared.log, "request: Its prompt is quarantined.";
+            "request" => &request.id, "part" => %part, "position" => position,
+            "prompt" => request.prompt_text(), "left" => %left);
+        match self.history.prove_not_run() {
+            Some(proof) => Err(GatewayResponse::quarantined(proof, left)),
+            None => Err(GatewayResponse::outcome_unknown()),
+        }
+    }
+
     /// The gateway's own response to a request for which no target can be chosen.
     fn no_target_response(&self) -> GatewayResponse {
         let candidates = self.shared.ready_targets(&self.request.service);
@@ -340,9 +389,10 @@
         result
     }
 
-    /// Logs and counts an answer that broke off with its connection.
+    /// Records an answer that broke off with its connection. Unless the answer had
+    /// settled, the request may have crashed the target.
     pub(super) fn record_broken_answer(
-        &self,
+        &mut self,
         record: &TargetRecord,
         phase: AnswerPhase,
         reason: &str,
@@ -355,6 +405,11 @@
         slog::warn!(shared.log, "request: Answer broke off.";
             "request" => &request.id, "target" => %record.id, "started_at" => record.started_at,
             "phase" => %phase, "prompt" => request.prompt_text(), "reason" => reason);
+        let parts = &request.shared_parts;
+        if phase != AnswerPhase::Settled && !parts.is_empty() {
+            self.crashes += 1;
+            shared.crash_reporter.report(shared, record, parts);
+        }
     }
 
     /// Timeout for the head of the response: all the time left, or less if the
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod http;
 pub mod peers;
 pub mod process;
+pub mod quarantine;
 pub mod staging;
 pub mod store;
 pub mod targets;
--- a/crates/gateway/src/peers/gossip_driver.rs
+++ b/crates/gateway/src/peers/gossip_driver.rs
@@ -64,6 +64,7 @@
             {
                 self.shared.update_retry_reserve(members.len());
             }
+            self.shared.crash_reporter.redeliver(&self.shared);
             if let Some((node, address)) = self.next_peer() {
                 self.exchange(node, address).await;
             }
--- a/crates/gateway/src/peers/gossip_message.rs
+++ b/crates/gateway/src/peers/gossip_message.rs
@@ -3,6 +3,7 @@
     clock::{ClockTime, TimeSpan},
     fleet::FleetMember,
     ids::StoreRevision,
+    policy::quarantine::QuarantineNotice,
     routes::{ConfigRank, RouteConfig},
     targets::{LeavingNotice, LimitNotice, RegistryChange, TargetRecord},
 };
@@ -36,6 +37,9 @@
     /// What targets have said of their limits.
     #[serde(default)]
     pub limits: Vec<LimitNotice>,
+    /// Parts of prompts that crash engines.
+    #[serde(default)]
+    pub quarantine: Vec<QuarantineNotice>,
 }
 
 /// Long poll for a newer configuration or newer targets. The answer is an
@@ -71,6 +75,9 @@
     /// What targets have said of their limits.
     #[serde(default)]
     pub limits: Vec<LimitNotice>,
+    /// Parts of prompts that crash engines.
+    #[serde(default)]
+    pub quarantine: Vec<QuarantineNotice>,
 }
 
 /// Answer to a [`GossipMessage`].
@@ -118,6 +125,7 @@
             holding: ReplicaStatus::of(state, now),
             leaving: state.leaving.borrow().notices(now),
             limits: state.limits.borrow().notices(now),
+            quarantine: state.quarantine.notices(now),
         }
     }
 }
@@ -141,6 +149,7 @@
             targets,
             leaving: state.leaving.borrow().notices(now),
             limits: state.limits.borrow().notices(now),
+            quarantine: state.quarantine.notices(now),
         }
     }
 
@@ -149,6 +158,7 @@
     pub fn apply(self, state: &GatewayState, source: &str, now: ClockTime) -> bool {
         state.merge_leaving(self.leaving, source);
         state.merge_limits(self.limits, source);
+        state.quarantine.merge(state, self.quarantine, source);
         if let Some(config) = self.config {
             state.update_config(config, "peer");
         }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -1,6 +1,7 @@
 //! Calls between gateways: membership gossip, updates of configuration and
 //! targets for nodes that do not read the store, pieces of stages for their
-//! collector, the choice of engines, and permits for limited targets.
+//! collector, the choice of engines, permits for limited targets, and the quarantine
+//! of prompts.
 
 mod gossip_driver;
 mod gossip_message;
@@ -33,5 +34,11 @@
 pub const FOLLOW_PATH: &str = "/follow";
 /// Path for permits for calls to targets that have named a limit.
 pub const PERMIT_PATH: &str = "/permit";
+/// Path for reporting crashes of engines to the node that decides on quarantines.
+pub const CRASH_PATH: &str = "/crash";
+/// Path for asking which parts of prompts a node has seen answered.
+pub const ANSWER_QUERY_PATH: &str = "/answered";
+/// Path for telling a node which parts of prompts are quarantined.
+pub const QUARANTINE_PATH: &str = "/quarantine";
 /// Path for probing whether a node responds.
 pub const PROBE_PATH: &str = "/probe";
--- a/crates/gateway/src/peers/peer_listener.rs
+++ b/crates/gateway/src/peers/peer_listener.rs
@@ -7,14 +7,15 @@
 use verbenahub_core::engines::EngineQuery;
 
 use super::{
-    ENGINE_PATH, ENGINE_PROGRESS_PATH, ENGINE_WAIT_PATH, FOLLOW_PATH, FREE_PATH, FollowRequest,
-    GOSSIP_PATH, GossipMessage, GossipReply, PERMIT_PATH, PROBE_PATH, PeerAck, ReplicaStatus,
-    STAGE_PATH, UpdateReply,
+    ANSWER_QUERY_PATH, CRASH_PATH, ENGINE_PATH, ENGINE_PROGRESS_PATH, ENGINE_WAIT_PATH,
+    FOLLOW_PATH, FREE_PATH, FollowRequest, GOSSIP_PATH, GossipMessage, GossipReply, PERMIT_PATH,
+    PROBE_PATH, PeerAck, QUARANTINE_PATH, ReplicaStatus, STAGE_PATH, UpdateReply,
 };
 use crate::{
     engines::{EngineProgress, ReadWait},
     http::{BodyReader, HeaderList, HttpStream, RequestHead, ResponseHead, request_framing},
     process::{Shared, accept_each},
+    quarantine::{AnswerQuery, AnswerReply, CrashBatch, QuarantineUpdate},
     staging::{FreeRequest, StageRequest},
     targets::{PermitQuery, within},
 };
@@ -99,6 +100,8 @@
                 self.shared.fleet.borrow_mut().merge(message.members, now);
                 self.shared.merge_leaving(message.leaving, "gossip");
                 self.shared.merge_limits(message.limits, "gossip");
+                let quarantine = &self.shared.quarantine;
+                quarantine.merge(&self.shared, message.quarantine, "gossip");
                 self.encode(&reply)
             }
             path if path == STAGE_PATH.as_bytes() => {
@@ -135,6 +138,24 @@
                 let reply = self.shared.permits.answer(&self.shared, query);
                 self.encode(&reply)
             }
+            path if path == CRASH_PATH.as_bytes() => {
+                let batch: CrashBatch = self.decode(body)?;
+                let owner = &self.shared.crash_owner;
+                let reply = owner.receive(&self.shared, &batch).await;
+                self.encode(&reply)
+            }
+            path if path == ANSWER_QUERY_PATH.as_bytes() => {
+                let query: AnswerQuery = self.decode(body)?;
+                let quarantine = &self.shared.quarantine;
+                let answers = quarantine.answers(&query.parts, self.shared.now());
+                self.encode(&AnswerReply { answers })
+            }
+            path if path == QUARANTINE_PATH.as_bytes() => {
+                let update: QuarantineUpdate = self.decode(body)?;
+                let quarantine = &self.shared.quarantine;
+                quarantine.merge(&self.shared, update.quarantine, "update");
+                self.encode(&PeerAck)
+            }
             path if path == PROBE_PATH.as_bytes() => self.encode(&PeerAck),
             path if path == FREE_PATH.as_bytes() => {
                 let request: FreeRequest = self.decode(body)?;
--- a/crates/gateway/src/process/gateway_metrics.rs
+++ b/crates/gateway/src/process/gateway_metrics.rs
@@ -34,6 +34,8 @@
     pub permits: IntCounterVec,
     /// Targets that have named a limit.
     pub limited_targets: IntGauge,
+    /// Parts of prompts that are quarantined at this node.
+    pub quarantined_parts: IntGauge,
     /// Connections opened to targets.
     pub target_connections: IntCounter,
     /// Seconds from the offer of a set of pieces to its results, by service.
@@ -115,19 +117,17 @@
                 "limited_targets",
                 "Targets that have named a limit",
             )?,
-            target_connections: register(
+            quarantined_parts: gauge(
                 registry_ref,
-                IntCounter::new(
-                    "verbenahub_gateway_target_connections",
-                    "Connections opened to targets",
-                )?,
+                "quarantined_parts",
+                "Parts of prompts that are quarantined",
             )?,
-            stage_seconds: latencies(
+            target_connections: counter(
                 registry_ref,
-                "stage_seconds",
-                "Time of sets of pieces",
-                "service",
+                "target_connections",
+                "Connections opened to targets",
             )?,
+            stage_seconds: latencies(registry_ref, "stage_seconds", "Time of sets", "service")?,
             call_pieces: histograms(
                 registry_ref,
                 "call_pieces",
@@ -195,6 +195,10 @@
     format!("verbenahub_gateway_{name}")
 }
 
+fn counter(registry: &Registry, name: &str, help: &str) -> Result<IntCounter, prometheus::Error> {
+    register(registry, IntCounter::new(metric_name(name), help)?)
+}
+
 fn counters(
     registry: &Registry,
     name: &str,
--- a/crates/gateway/src/process/gateway_state.rs
+++ b/crates/gateway/src/process/gateway_state.rs
@@ -27,6 +27,7 @@
 use crate::{
     engines::{EngineChooser, EngineClient},
     peers::PeerClient,
+    quarantine::{CrashOwner, CrashReporter, PromptQuarantine},
     staging::{ResultReleaser, StageClient, StageCollector},
     targets::{ConnectionPool, PermitClient, ResponseMemory},
 };
@@ -62,6 +63,12 @@
     pub limits: RefCell<TargetLimits>,
     /// Obtains and grants permits for calls to limited targets.
     pub permits: PermitClient,
+    /// Parts of prompts that crash engines, and parts that were answered.
+    pub quarantine: PromptQuarantine,
+    /// Reports crashes to the node that decides on quarantines.
+    pub crash_reporter: CrashReporter,
+    /// Decides on quarantines, if this node does so for all nodes.
+    pub crash_owner: CrashOwner,
     /// Load and health of targets.
     pub loads: RefCell<TargetLoads>,
     /// Other gateways.
@@ -141,6 +148,9 @@
             leaving: RefCell::default(),
             limits: RefCell::default(),
             permits: PermitClient::default(),
+            quarantine: PromptQuarantine::new(&profile.node),
+            crash_reporter: CrashReporter::default(),
+            crash_owner: CrashOwner::default(),
             loads: RefCell::default(),
             change_count: Cell::new(0),
             changed: Event::new(),
--- a/crates/gateway/src/targets/target_exchange.rs
+++ b/crates/gateway/src/targets/target_exchange.rs
@@ -220,6 +220,13 @@
         retry_after_text(&self.head).is_some()
     }
 
+    /// Whether the response has neither a length nor chunks, so that only the end of
+    /// its connection ends it.
+    #[must_use]
+    pub fn ends_with_connection(&self) -> bool {
+        self.framing == BodyFraming::UntilClose
+    }
+
     /// Sets the outcome that is recorded for the target, whatever the response.
     pub fn set_outcome(&mut self, outcome: CallOutcome) {
         self.in_flight.outcome = outcome;
