Test that odd target records end no node and stop no updates

Operators of similar systems saw nodes end, or stop following the list of targets, over one odd entry of another writer. Entries nested 200,000 deep, with numbers too large and with ports out of range, before the start and while two gateways run: each costs only itself and is logged with its key, since every value is decoded by itself with a bounded depth. Records that are valid but useless (port 0, 4 billion slots, a deeply nested extra field) leave the others in use. Nothing had to be changed.

--- a/crates/gateway/tests/platform_faults.rs
+++ b/crates/gateway/tests/platform_faults.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use std::{io::Write, time::Duration};
+use std::{collections::BTreeMap, io::Write, time::Duration};
 
 use rustix::process::Signal;
 use serde_json::json;
@@ -108,6 +108,107 @@
     assert_eq!(response_status(&gateway, "/look/a", "key-one"), 200);
 }
 
+/// Another writer leaves one odd entry among those of the targets, before the
+/// gateways start and while they run.
+#[test]
+fn odd_target_records_neither_end_a_node_nor_stop_its_updates() {
+    let record = |field: &str, value: &str| {
+        let mut fields = BTreeMap::from([
+            ("Service", "\"desk\""),
+            ("Address", "\"127.0.0.1:1\""),
+            ("Zone", "\"z1\""),
+            ("State", "\"ready\""),
+            ("Slots", "1"),
+            ("born", "1"),
+        ]);
+        fields.insert(field, value);
+        let fields = fields.iter();
+        let fields: Vec<String> = fields
+            .map(|(name, value)| format!("\"{name}\":{value}"))
+            .collect();
+        format!("{{{}}}", fields.join(","))
+    };
+    let opened = "[".repeat(200_000);
+    let object = "{\"a\":".repeat(100_000) + "1" + &"}".repeat(100_000);
+    let odd = [
+        record("Extra", &opened),
+        record("Slots", &object),
+        opened.clone(),
+        record("Slots", "99999999999999999999999999"),
+        record("Slots", "1e999"),
+        record("Slots", "-1"),
+        record("born", "18446744073709551616"),
+        record("born", "1e400"),
+        record("Address", "\"127.0.0.1:99999\""),
+        record("Address", "\"127.0.0.1:-1\""),
+        record("Address", "\"127.0.0.1:\""),
+        record("Address", "\"[::1]:65536\""),
+        record("Zone", &format!("\"{}\"", "z".repeat(100_000))),
+    ];
+    let log = RunLog::default();
+    for (number, value) in odd.iter().enumerate() {
+        let store = default_store();
+        store.put_bytes("servers/a-odd", value.as_bytes());
+        let _target = start_registered_target(&store, &log, "t0");
+        let gateways = GatewayProcess::start_fleet(2, store.address());
+        for gateway in &gateways {
+            gateway.wait_log_line(|line| line["targets"] == 1);
+        }
+        store.put_bytes("servers/z-odd", value.as_bytes());
+        let _other = start_registered_target(&store, &log, "t1");
+        for gateway in &gateways {
+            gateway.wait_log_line(|line| line["targets"] == 2);
+            assert_eq!(
+                response_status(gateway, "/look/a", "key-one"),
+                200,
+                "{number}"
+            );
+        }
+        let lines = gateways.iter().flat_map(GatewayProcess::log_lines);
+        let mut invalid = lines.filter(|line| line["msg"] == "targets: Record is invalid.");
+        assert!(
+            invalid.any(|line| line["key"] == "servers/z-odd"),
+            "{number}"
+        );
+    }
+}
+
+/// Records that are valid, but of no use or strange.
+#[test]
+fn extreme_target_records_leave_the_others_in_use() {
+    let store = default_store();
+    let log = RunLog::default();
+    let _target = start_registered_target(&store, &log, "t0");
+    let nested = format!("{}{}", "[".repeat(200_000), "]".repeat(200_000));
+    let text = format!(
+        "{{\"Service\":\"desk\",\"Address\":\"127.0.0.1:1\",\"Zone\":\"z1\",\"State\":\"ready\",\
+         \"Nested\":{nested},\"Number\":1e999999999}}"
+    );
+    store.put_bytes("servers/nested", text.as_bytes());
+    for (number, (address, slots, born)) in [
+        ("127.0.0.1:0", 1_u64, 1_u64),
+        ("0.0.0.0:1", 1, 1),
+        ("255.255.255.255:1", 1, 1),
+        ("127.0.0.1:1", u64::from(u32::MAX), 1),
+        ("127.0.0.1:1", 0, 1),
+        ("127.0.0.1:1", 1, u64::MAX),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        let record = json!({ "Service": "desk", "Address": address, "Zone": "z1", "State": "ready",
+            "Slots": slots, "born": born });
+        store.put(&format!("servers/odd{number}"), &record);
+    }
+    let gateway = GatewayProcess::start_ready("n1", store.address());
+    gateway.wait_log_line(|line| line["targets"] == 8);
+    for _ in 0..30 {
+        assert_eq!(response_status(&gateway, "/look/a", "key-one"), 200);
+    }
+    let _other = start_registered_target(&store, &log, "t1");
+    gateway.wait_log_line(|line| line["targets"] == 9);
+}
+
 #[test]
 fn listing_of_several_pages_is_read_completely() {
     let store = default_store();
