Take no refusal without an id on a kept connection as proof

A caller of a booking was told 503, not run, while the target ran it: a faulty target wrote an earlier refusal once more, and one that echoes no request id was taken for the answer to the next request on the connection. Copies that echo the earlier id were skipped already.

On a connection that was used before, a refusal counts only with the id of the request; without it the request may have run (502). A connection on which a stray response came is not used again. The same request never goes to the same target twice, so a copy with its own id can't occur. repeated_refusals_on_kept_connections_prove_nothing failed before: 503 instead of 502 for the refusal without id, and a third request was sent on the connection of the stray response.

--- a/crates/gateway/src/targets/target_exchange.rs
+++ b/crates/gateway/src/targets/target_exchange.rs
@@ -62,6 +62,9 @@
     stream: Option<HttpStream>,
     reader: BodyReader,
     framing: BodyFraming,
+    /// Whether the target has sent a response that belongs to no call on this
+    /// connection.
+    had_stray: bool,
     in_flight: InFlightCall,
 }
 
@@ -112,7 +115,12 @@
         log_limited_send(shared, record, &call);
         let result = Self::open(shared, record, call).await;
         match result {
-            Ok((stream, head, framing)) => {
+            Ok((stream, received)) => {
+                let ReceivedHead {
+                    head,
+                    framing,
+                    had_stray,
+                } = received;
                 record_load(shared, record, &head);
                 if head.headers.text(headers::LEAVING).is_some_and(is_flag_set) {
                     shared.record_leaving(record);
@@ -127,6 +135,7 @@
                     stream: Some(stream),
                     reader: BodyReader::new(framing),
                     framing,
+                    had_stray,
                     in_flight,
                 })
             }
@@ -141,8 +150,10 @@
         shared: &Shared,
         record: &Arc<TargetRecord>,
         call: TargetCall<'_>,
-    ) -> Result<(HttpStream, ResponseHead, BodyFraming), SendError> {
-        let mut stream = match shared.idle_connections.take(&record.id, shared.now()) {
+    ) -> Result<(HttpStream, ReceivedHead), SendError> {
+        let idle = shared.idle_connections.take(&record.id, shared.now());
+        let is_reused = idle.is_some();
+        let mut stream = match idle {
             Some(stream) => stream,
             None => connect(shared, record).await?,
         };
@@ -151,7 +162,7 @@
             let sent = stream.write(&message).await;
             // A target may respond and close the connection before it has read
             // the whole request, so a response counts even if writing failed.
-            let response = read_response_head(&mut stream, call.request).await;
+            let response = read_response_head(&mut stream, call.request, is_reused).await;
             match (sent, response) {
                 (_, Ok(response)) => Ok(response),
                 (Err(error), Err(_)) => Err(SendError::ConnectionLost(error.to_string())),
@@ -159,8 +170,8 @@
             }
         };
         let response = within(call.head_timeout, exchange).await;
-        let (head, framing) = response.unwrap_or(Err(SendError::Stalled))?;
-        Ok((stream, head, framing))
+        let received = response.unwrap_or(Err(SendError::Stalled))?;
+        Ok((stream, received))
     }
 
     /// Reads the next bytes of the body. Returns `None` at its end, after which
@@ -243,7 +254,7 @@
         let Some(stream) = self.stream.take() else {
             return;
         };
-        if self.framing != BodyFraming::UntilClose {
+        if self.framing != BodyFraming::UntilClose && !self.had_stray {
             let now = self.shared.now();
             let pool = &self.shared.idle_connections;
             pool.put(&self.record.id, stream, &self.head, now);
@@ -276,13 +287,24 @@
     message
 }
 
+/// Head of the response to a call.
+struct ReceivedHead {
+    head: ResponseHead,
+    framing: BodyFraming,
+    /// Whether responses to other calls came before it.
+    had_stray: bool,
+}
+
 /// Reads the head of the response to a request. Late responses to earlier
-/// requests on the same connection are skipped.
+/// requests on the same connection are skipped. On a connection that was used
+/// before, a refusal that names no request may be a copy of an earlier one, so it
+/// is no proof that this request has not run.
 async fn read_response_head(
     stream: &mut HttpStream,
     request: Option<&str>,
-) -> Result<(ResponseHead, BodyFraming), SendError> {
-    for _ in 0..=MAX_STRAY_RESPONSES {
+    is_reused: bool,
+) -> Result<ReceivedHead, SendError> {
+    for strays in 0..=MAX_STRAY_RESPONSES {
         let head = stream
             .read_response()
             .await
@@ -291,8 +313,17 @@
             .map_err(|error| SendError::Malformed(error.to_string()))?;
         let echoed = head.headers.text(headers::REQUEST_ID);
         let is_other = matches!((request, echoed), (Some(own), Some(echoed)) if own != echoed);
+        let is_refusal = head.headers.get(headers::NOT_RUN).is_some();
+        if is_refusal && is_reused && request.is_some() && echoed.is_none() {
+            let reason = "refusal that names no request".to_owned();
+            return Err(SendError::Malformed(reason));
+        }
         if !is_other {
-            return Ok((head, framing));
+            return Ok(ReceivedHead {
+                head,
+                framing,
+                had_stray: strays > 0,
+            });
         }
         let stray = BodyReader::new(framing);
         let skipped = stray.collect(stream, MAX_RESPONSE_BODY_BYTES).await;
--- a/crates/gateway/tests/relay.rs
+++ b/crates/gateway/tests/relay.rs
@@ -391,6 +391,39 @@
     }
 }
 
+/// The second request on each connection is answered with a copy of an earlier
+/// refusal before its own response.
+#[test]
+fn repeated_refusals_on_kept_connections_prove_nothing() {
+    for (case, echoes) in [("names the earlier request", true), ("names none", false)] {
+        let fixture = PlainFixture::start(1, move |call: &RawCall| {
+            let id = if call.number == 0 {
+                call.header("Attempt-Id").unwrap_or_default()
+            } else {
+                "earlier"
+            };
+            let headers = [("Not-Executed", "1"), ("Attempt-Id", id)];
+            let count = if echoes || call.number == 0 { 2 } else { 1 };
+            let mut reply = RawReply::answer("503 Service Unavailable", &headers[..count], b"full");
+            if call.number > 0 {
+                reply.steps.push(ReplyStep::Wait(Duration::from_millis(30)));
+                reply.steps.extend(done(call).steps);
+            }
+            reply
+        });
+        let first = fixture.ask(&CallerRequest::new("POST", "/book/a", "first"));
+        assert_eq!(first.status, 503, "{case}");
+        let second = fixture.ask(&CallerRequest::new("POST", "/book/a", "second"));
+        let expected = if echoes { 200 } else { 502 };
+        assert_eq!(second.status, expected, "{case}");
+        assert_eq!(second.header("Retry-After"), None, "{case}");
+        // The connection is not used again, so its later bytes reach nobody.
+        let third = fixture.ask(&CallerRequest::new("POST", "/book/a", "third"));
+        assert_eq!(third.status, 503, "{case}");
+        assert_eq!(fixture.runs("second"), 1, "{case}");
+    }
+}
+
 #[test]
 fn answer_without_a_length_ends_with_its_connection() {
     let fixture = PlainFixture::start(1, |call: &RawCall| {
