End a resumed stream that begins again before its last event

A caller got events twice in one stream: it broke after event 2, and the next engine ignored the last event's number and began at event 0. Errors of the next engine were never passed on: signed or not, of the type of a stream, as a refusal or without a length, they end the connection before the end of the stream.

After a resume the first numbered event must come after the last one that went out; else the stream ends as broken. Eight cases in next_engines_error_never_ends_up_in_a_stream_that_has_begun, of which 'stream from its beginning' failed before. Streams without a length are complete only between events (three cases, passed before).

--- a/crates/gateway/src/front/stream_flow.rs
+++ b/crates/gateway/src/front/stream_flow.rs
@@ -44,6 +44,9 @@
     last_event: Option<String>,
     /// When the first event of the current target's answer arrived.
     begun_at: Option<ClockTime>,
+    /// Number of the last event before the stream was resumed, until the next one
+    /// has come.
+    resumed_after: Option<u64>,
     /// Whether the current target's answer was recorded as settled.
     is_answered: bool,
 }
@@ -103,6 +106,7 @@
         splitter: EventSplitter::default(),
         last_event: None,
         begun_at: None,
+        resumed_after: None,
         is_answered: false,
     }))
 }
@@ -175,6 +179,7 @@
         self.exchange = exchange;
         self.begun_at = None;
         self.is_answered = false;
+        self.resumed_after = last.and_then(|id| id.parse().ok());
         true
     }
 
@@ -246,6 +251,10 @@
             }
             let mut chunk = BytesMut::new();
             while let Some(event) = self.splitter.next_event() {
+                if !self.continues_stream(&event) {
+                    let reason = "resumed at an event that was already sent".to_owned();
+                    return EventsEnd::Failed(SendError::Malformed(reason));
+                }
                 self.record_event(&event);
                 chunk.extend_from_slice(&event);
             }
@@ -261,6 +270,19 @@
         }
     }
 
+    /// Whether an event comes after those that were sent before the stream was
+    /// resumed. Events without a number can't be compared.
+    fn continues_stream(&mut self, event: &Bytes) -> bool {
+        let Some(last) = self.resumed_after else {
+            return true;
+        };
+        let Some(number) = event_id(event).and_then(|id| id.parse::<u64>().ok()) else {
+            return true;
+        };
+        self.resumed_after = None;
+        number > last
+    }
+
     fn record_event(&mut self, event: &Bytes) {
         let shared = self.sender.shared;
         let now = shared.now();
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -118,6 +118,85 @@
     }
 }
 
+/// A stream that has begun breaks off, and the next engine doesn't continue it.
+#[test]
+fn next_engines_error_never_ends_up_in_a_stream_that_has_begun() {
+    for case in [
+        "signed error",
+        "error of the type of a stream",
+        "refusal",
+        "not found",
+        "success of another type",
+        "stream from its beginning",
+        "no signature and no length",
+        "nothing",
+    ] {
+        let log = RunLog::default();
+        let seen = log.clone();
+        let fixture = StreamFixture::start(2, move |call: &RawCall| {
+            seen.record("any", call);
+            if seen.runs().len() == 1 {
+                return EngineTarget::stream(call, 3, PAUSE).then(ReplyStep::Close);
+            }
+            let id = call.header("Attempt-Id").unwrap_or_default();
+            let stream_type = [
+                ("Attempt-Id", id),
+                ("Response-Signature", "s"),
+                ("Content-Type", "text/event-stream"),
+            ];
+            match case {
+                "signed error" => PlainTarget::signed(call, "500 Broken", b"id: 3\n\n"),
+                "error of the type of a stream" => {
+                    RawReply::answer("500 Broken", &stream_type, b"id: 3\ndata: no\n\n")
+                }
+                "refusal" => PlainTarget::refusal(),
+                "not found" => RawReply::answer("404 Not Found", &[], b"id: 3\n\n"),
+                "success of another type" => PlainTarget::signed(call, "200 OK", b"id: 3\n\n"),
+                "stream from its beginning" => {
+                    let mut fresh = call.clone();
+                    fresh.headers.retain(|(name, _)| name != "Last-Event-Id");
+                    EngineTarget::stream(&fresh, EVENTS, PAUSE).last_chunk()
+                }
+                "no signature and no length" => {
+                    RawReply::send("HTTP/1.1 500 Broken\r\n\r\nid: 3\n\n").then(ReplyStep::Close)
+                }
+                _ => RawReply::send("").then(ReplyStep::Close),
+            }
+        });
+        let answer = fixture.ask("/resume/a", "r1");
+        assert_eq!(answer.status, 200, "{case}");
+        assert_eq!(answer.text(), events("r1", 3), "{case}");
+        assert!(!answer.is_complete, "{case}");
+        assert_eq!(fixture.log.runs_of("r1").len(), 2, "{case}");
+    }
+}
+
+/// Streams without a length or chunks end with their connection.
+#[test]
+fn stream_without_a_length_is_complete_only_between_events() {
+    for (case, end, is_complete) in [
+        ("after an event", "", true),
+        ("inside an event", "id: 3\nda", false),
+        ("inside the empty line", "id: 3\ndata: r1 3\n", false),
+    ] {
+        let fixture = StreamFixture::start(1, move |call: &RawCall| {
+            let id = call.header("Attempt-Id").unwrap_or_default();
+            let head = format!(
+                "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Signature: 3e1b.07\r\n\
+                 Content-Type: text/event-stream\r\n\r\n"
+            );
+            RawReply::send(head + &events(id, 3))
+                .then(ReplyStep::Wait(PAUSE))
+                .then(ReplyStep::Send(end.as_bytes().to_vec()))
+                .then(ReplyStep::Close)
+        });
+        let answer = fixture.ask("/tell/a", "r1");
+        assert_eq!(answer.status, 200, "{case}");
+        assert_eq!(answer.text(), events("r1", 3), "{case}");
+        assert_eq!(answer.is_complete, is_complete, "{case}");
+    }
+}
+
 #[test]
 fn resumable_stream_goes_on_no_more_often_than_its_route_allows() {
     let fixture = StreamFixture::start(3, |call: &RawCall| {
