Spread the callers of closed targets below the longest time to come back

callers_are_told_when_the_first_target_accepts_requests_again failed once: times beyond 3 s were cut to 3 s after the random addition, so a third of the callers of a target that is closed for 2.5 s, and all of one that is closed for longer, were told to come back at the same instant.

The addition is limited to what is left below 3 s now, of at least 0.5 s. The new test failed before (a third of 40 callers told 3.000).

--- a/crates/gateway/src/front/gateway_response.rs
+++ b/crates/gateway/src/front/gateway_response.rs
@@ -9,7 +9,7 @@
 /// same queue again.
 const MIN_RETRY_AFTER: TimeSpan = TimeSpan::from_millis(100);
 /// Maximum `Retry-After` of a refusal. Callers give up soon after that time.
-const MAX_RETRY_AFTER: TimeSpan = TimeSpan::from_millis(3_000);
+pub(super) const MAX_RETRY_AFTER: TimeSpan = TimeSpan::from_millis(3_000);
 
 /// A response that the gateway generates itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/gateway/src/front/target_sender.rs
+++ b/crates/gateway/src/front/target_sender.rs
@@ -14,6 +14,7 @@
     ActiveRequest, GatewayResponse,
     answer_phase::AnswerPhase,
     forward_headers::{ForwardExtras, forward_headers},
+    gateway_response::MAX_RETRY_AFTER,
 };
 use crate::{
     engines::EngineAssignment,
@@ -42,6 +43,9 @@
 const RETRY_JITTER_PERCENT: u64 = 30;
 /// Minimum `Retry-After`, before jitter, of a request that no target accepts.
 const MIN_REFUSED_RETRY_AFTER: TimeSpan = TimeSpan::from_millis(150);
+/// Maximum `Retry-After`, before jitter, of such a request. Leaves room for the
+/// jitter below [`MAX_RETRY_AFTER`].
+const MAX_REFUSED_RETRY_AFTER: TimeSpan = TimeSpan::from_millis(2_500);
 /// Multiple of the route's latency goal after which an attempt at a request that
 /// is not a stream is abandoned in favor of another one.
 const PLAIN_ATTEMPT_GOAL_MULTIPLE: u64 = 2;
@@ -296,8 +300,9 @@
     fn retry_after(&self) -> TimeSpan {
         let candidates = self.shared.ready_targets(&self.request.service);
         let closed_for = self.closed_for(&candidates).unwrap_or_default();
-        let least = closed_for.max(MIN_REFUSED_RETRY_AFTER);
-        let most_extra = least.as_millis() * RETRY_JITTER_PERCENT / 100;
+        let least = closed_for.clamp(MIN_REFUSED_RETRY_AFTER, MAX_REFUSED_RETRY_AFTER);
+        let room = MAX_RETRY_AFTER.saturating_sub(least).as_millis();
+        let most_extra = room.min(least.as_millis() * RETRY_JITTER_PERCENT / 100);
         least + TimeSpan::from_millis(self.shared.random() % (most_extra + 1))
     }
 
--- a/crates/gateway/tests/target_notices.rs
+++ b/crates/gateway/tests/target_notices.rs
@@ -208,3 +208,22 @@
         "callers come back at the same instant: {times:?}"
     );
 }
+
+/// Times to come back are bounded, and not so that many callers get the bound.
+#[test]
+fn callers_of_closed_targets_are_not_all_told_the_longest_time() {
+    for retry_after in ["2.5", "30"] {
+        let fixture = NoticeFixture::start("desk", 1, move |_: &RawCall| {
+            refusal_with_retry_after(retry_after)
+        });
+        let gateway = fixture.gateway("n1", 1);
+        send_until_first_runs(&fixture, &gateway, "/book/a");
+        let times = (0..40).map(|number| {
+            let id = format!("later-{number}");
+            let answer = CallerRequest::new("POST", "/book/a", &id).fetch(gateway.caller_address);
+            answer.header("Retry-After").expect("a time").to_owned()
+        });
+        let longest = times.filter(|time| time == "3.000").count();
+        assert!(longest < 5, "{longest} of 40 callers, {retry_after} s");
+    }
+}
