Offer crash reports to the next node, without calling the first one gone

A node that decides slowly was recorded as unreachable for all shared work, so collectors of stages would have moved for a late reply. Reports go to the next node in the order instead, and again to the first one in the next gossip round. A request that lost its engine waits 0.5 s at most for the verdict; without one it is sent again only if all its parts were answered here.

--- a/crates/gateway/src/quarantine/crash_owner.rs
+++ b/crates/gateway/src/quarantine/crash_owner.rs
@@ -44,15 +44,13 @@
 }
 
 impl CrashOwner {
-    /// The node that decides for all nodes, if this node knows any that takes part in
-    /// shared work.
+    /// The nodes that take part in shared work, in the order in which they decide for
+    /// all nodes: each one if those before it don't respond.
     #[must_use]
-    pub fn find(shared: &Shared) -> Option<NodeId> {
+    pub fn candidates(shared: &Shared) -> Vec<NodeId> {
         let members = shared.fleet.borrow().eligible_members(shared.now());
-        weighted_order(OWNER_KEY, &members)
-            .first()
-            .copied()
-            .cloned()
+        let order = weighted_order(OWNER_KEY, &members).into_iter();
+        order.cloned().collect()
     }
 
     /// Records crashes and decides.
--- a/crates/gateway/src/quarantine/crash_reporter.rs
+++ b/crates/gateway/src/quarantine/crash_reporter.rs
@@ -16,6 +16,7 @@
 use crate::{
     peers::{CRASH_PATH, PeerError},
     process::Shared,
+    targets::within,
 };
 
 /// Time for which reports are collected before they are sent. One crash ends many
@@ -23,6 +24,9 @@
 const BATCH_INTERVAL: Duration = Duration::from_millis(5);
 /// Timeout for a reply. The deciding node asks all others before it replies.
 const REPLY_TIMEOUT: TimeSpan = TimeSpan::from_millis(1_000);
+/// Time for which a request that lost its engine waits for the verdict on its
+/// prompt.
+const VERDICT_TIMEOUT: TimeSpan = TimeSpan::from_millis(500);
 /// Number of nodes that a batch is offered to, if the first ones don't respond.
 const MAX_OFFERS: usize = 2;
 /// Time for which a report is kept, so that another deciding node can be told.
@@ -80,20 +84,27 @@
         if self.reports.borrow().is_empty() {
             return;
         }
-        let owner = owner_run(shared);
-        if owner.is_some_and(|owner| !self.undelivered(&owner, shared.now()).1.is_empty()) {
+        let owner = owner_runs(shared).into_iter().next();
+        let is_current = owner.is_none_or(|owner| {
+            let (numbers, _) = self.undelivered(&owner, shared.now());
+            numbers.is_empty()
+        });
+        if !is_current {
             self.schedule(shared);
         }
     }
 
     /// Whether none of the parts is suspected or quarantined after all reports of
-    /// this node were considered. False if no node decides.
+    /// this node were considered. If no node replies in time, whether all of them were
+    /// answered here.
     pub async fn are_blameless(&self, shared: &Shared, parts: &[PartKey]) -> bool {
-        let Some(reply) = self.deliver(shared).await else {
-            return false;
+        let reply = within(VERDICT_TIMEOUT, self.deliver(shared)).await;
+        let now = shared.now();
+        let is_unsuspected = match reply.flatten() {
+            Some(reply) => !parts.iter().any(|part| reply.suspects.contains(part)),
+            None => shared.quarantine.answers(parts, now).len() == parts.len(),
         };
-        let is_suspected = parts.iter().any(|part| reply.suspects.contains(part));
-        !is_suspected && shared.quarantine.time_left(parts, shared.now()).is_none()
+        is_unsuspected && shared.quarantine.time_left(parts, now).is_none()
     }
 
     fn schedule(&self, shared: &Shared) {
@@ -109,8 +120,7 @@
     }
 
     async fn deliver(&self, shared: &Shared) -> Option<CrashReply> {
-        for _ in 0..MAX_OFFERS {
-            let owner = owner_run(shared)?;
+        for owner in owner_runs(shared) {
             let (numbers, reports) = self.undelivered(&owner, shared.now());
             let batch = CrashBatch { reports };
             let reply = offer(shared, &owner.0, &batch).await;
@@ -127,9 +137,6 @@
                 Err(error) => {
                     slog::warn!(shared.log, "quarantine: Reports not delivered.";
                         "owner" => %owner.0, "reports" => numbers.len(), "error" => %error);
-                    let now = shared.now();
-                    let mut fleet = shared.fleet.borrow_mut();
-                    fleet.record_unreachable(&owner.0, now);
                 }
             }
         }
@@ -162,10 +169,15 @@
     }
 }
 
-fn owner_run(shared: &Shared) -> Option<OwnerRun> {
-    let owner = CrashOwner::find(shared)?;
-    let incarnation = shared.fleet.borrow().incarnation_of(&owner)?;
-    Some((owner, incarnation))
+/// Runs of the nodes that a batch is offered to, one after the other.
+fn owner_runs(shared: &Shared) -> Vec<OwnerRun> {
+    let owners = CrashOwner::candidates(shared).into_iter();
+    let fleet = shared.fleet.borrow();
+    let runs = owners.filter_map(|owner| {
+        let incarnation = fleet.incarnation_of(&owner)?;
+        Some((owner, incarnation))
+    });
+    runs.take(MAX_OFFERS).collect()
 }
 
 async fn offer(
