Test what callers of quarantined parts are told, and crashes without a cause

A gateway that starts after the verdict learns it by gossip and sends no such request; callers get 503 with the rest of the quarantine. Four waves in which all engines lose their connections at once quarantine nothing.

--- a/crates/gateway/tests/deadly_prompts.rs
+++ b/crates/gateway/tests/deadly_prompts.rs
@@ -223,3 +223,64 @@
     let sound = fixture.send_requests("/tell/x", REQUESTS);
     fixture.check(&sound);
 }
+
+#[test]
+fn callers_of_a_quarantined_part_are_told_for_how_long_by_new_gateways_too() {
+    let mut fixture = CrashFixture::start(crash_reply);
+    fixture.send_requests("/tell/x", REQUESTS / 4);
+    let seeds = fixture.gateways.iter().map(|gateway| gateway.peer_address);
+    let seeds: Vec<_> = seeds.collect();
+    let later = GatewayProcess::start("later", fixture.store.address(), &seeds);
+    later.wait_ready();
+    later.wait_log_line(|line| line["msg"] == "quarantine: Part of prompts learned.");
+    fixture.gateways.push(later);
+    let crashes = fixture.crashes();
+    for (index, gateway) in fixture.gateways.iter().enumerate() {
+        let deadly = prompt_request("/tell/x", 9_000 + index, DEADLY);
+        let response = deadly.fetch(gateway.caller_address);
+        assert_eq!(response.status, 503);
+        assert!(response.text().contains("quarantined"), "{response:?}");
+        let wait = response.header("Retry-After").expect("a time");
+        assert!(wait.parse::<f64>().expect("seconds") > 60.0, "{wait}");
+        let sound = prompt_request("/tell/x", 9_100 + index, "c0");
+        assert!(sound.fetch(gateway.caller_address).is_complete);
+        assert_eq!(gateway.metric("quarantined_parts"), Some(1.0));
+    }
+    assert_eq!(fixture.crashes(), crashes);
+}
+
+/// All engines lose their connections at the same moment, four times, without a
+/// part that is to blame.
+#[test]
+fn engines_that_crash_together_quarantine_nothing() {
+    let fixture = CrashFixture::start(crash_reply);
+    thread::scope(|scope| {
+        let requests = scope.spawn(|| {
+            let sent = (0..REQUESTS / 2).map(|index| {
+                thread::sleep(REQUEST_INTERVAL);
+                fixture.register_engines();
+                let third = format!("c{}", index % 40);
+                let request = prompt_request("/tell/x", index, &third);
+                let address = fixture.gateways[index % GATEWAYS].caller_address;
+                scope.spawn(move || request.fetch(address))
+            });
+            let sent: Vec<_> = sent.collect();
+            let responses = sent.into_iter();
+            let texts = responses.map(|response| response.join().expect("no panic").text());
+            texts.collect::<Vec<String>>()
+        });
+        for _ in 0..4 {
+            thread::sleep(REQUEST_INTERVAL * 40);
+            for engine in &fixture.engines {
+                engine.server().crash();
+            }
+        }
+        let texts = requests.join().expect("no panic");
+        let answered = texts.iter().filter(|text| text.starts_with("id: 0"));
+        assert!(answered.count() > texts.len() / 2);
+        assert!(!texts.iter().any(|text| text.contains("quarantined")));
+    });
+    for gateway in &fixture.gateways {
+        assert_eq!(gateway.metric("quarantined_parts"), Some(0.0));
+    }
+}
