Don't take engines for crashed that are still there

Read of the fix: a target that resets part of its connections looked like one that crashes. A part that a few requests share could lose its connection at three such engines without an answer in between, and callers of sound requests would have been told to stay away for ten minutes.

Before a verdict the deciding node connects to the engines of the crashes that speak against the part and are still registered as the same run: one that accepts has not crashed. The next crash checks again, so an engine that is back before the registry says so costs one crash more.

--- a/crates/core/src/policy/quarantine/crash_evidence.rs
+++ b/crates/core/src/policy/quarantine/crash_evidence.rs
@@ -1,10 +1,7 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-use super::{CrashReport, PartAnswer, PartKey};
-use crate::{
-    clock::{ClockTime, TimeSpan},
-    ids::TargetId,
-};
+use super::{CrashReport, EngineRun, PartAnswer, PartKey};
+use crate::clock::{ClockTime, TimeSpan};
 
 /// Number of separate crashes, without an answer in between, after which a part is
 /// quarantined.
@@ -27,9 +24,6 @@
 /// Maximum number of parts that are remembered as runners-up.
 const MAX_RUNNERS_UP: usize = 64;
 
-/// Run of an engine that crashed.
-type EngineRun = (TargetId, Option<u64>);
-
 #[derive(Clone, Debug)]
 struct EngineCrash {
     at: ClockTime,
@@ -68,7 +62,8 @@
 /// crashes, while engines crash for other reasons too, some of them together. An
 /// answer clears a part of all crashes before it. Of the parts that remain the one
 /// with most crashes is quarantined, or of several the last one in the prompt. Its
-/// crashes are explained then and no longer speak against other parts.
+/// crashes are explained then and no longer speak against other parts. A run that is
+/// still there has not crashed.
 #[derive(Clone, Debug, Default)]
 pub struct CrashEvidence {
     crashes: BTreeMap<EngineRun, EngineCrash>,
@@ -93,7 +88,7 @@
         Known: Fn(PartKey) -> bool,
     {
         let at = now - report.age;
-        let run = (report.engine.clone(), report.started_at);
+        let run = report.run.clone();
         if report.parts.iter().any(|part| is_quarantined(*part)) {
             self.crashes.remove(&run);
             self.explained.insert(run.clone(), at);
@@ -128,6 +123,14 @@
         }
     }
 
+    /// The runs whose crashes speak against a part.
+    #[must_use]
+    pub fn runs_with(&self, part: PartKey) -> Vec<EngineRun> {
+        let crashes = self.crashes.iter();
+        let runs = crashes.filter(|(_, crash)| crash.parts.contains_key(&part));
+        runs.map(|(run, _)| run.clone()).collect()
+    }
+
     /// Parts that crashed engines more than once since they were last answered, as
     /// far as is known. `is_known` tells which ones were quarantined already.
     #[must_use]
@@ -135,7 +138,7 @@
     where
         Known: Fn(PartKey) -> bool,
     {
-        let weights = self.weights().into_iter();
+        let weights = self.weights(&BTreeSet::new()).into_iter();
         let suspected = weights.filter(|(part, weight)| {
             weight.separate_crashes() >= SUSPECT_CRASHES
                 || is_known(*part) && weight.separate_crashes() > 0
@@ -144,13 +147,18 @@
     }
 
     /// The part to quarantine next, if the evidence against any is strong enough. One
-    /// that `is_known` from an earlier quarantine takes one crash.
+    /// that `is_known` from an earlier quarantine takes one crash. Runs that are
+    /// `survivors` have lost single connections only.
     #[must_use]
-    pub fn deadly_part<Known>(&self, is_known: Known) -> Option<PartKey>
+    pub fn deadly_part<Known>(
+        &self,
+        is_known: Known,
+        survivors: &BTreeSet<EngineRun>,
+    ) -> Option<PartKey>
     where
         Known: Fn(PartKey) -> bool,
     {
-        let weights = self.weights();
+        let weights = self.weights(survivors);
         let deadly = weights.into_iter().filter(|(part, weight)| {
             let least = if is_known(*part) {
                 1
@@ -168,7 +176,7 @@
     /// Records that a part was quarantined, which explains its crashes. Returns their
     /// number. A part that was in all of them too takes fewer further crashes.
     pub fn explain(&mut self, part: PartKey, now: ClockTime) -> usize {
-        let weights = self.weights();
+        let weights = self.weights(&BTreeSet::new());
         if let Some(weight) = weights.get(&part) {
             let as_strong = weights
                 .iter()
@@ -201,9 +209,9 @@
     }
 
     /// The weights of all parts that were in a crash since they were last answered.
-    fn weights(&self) -> BTreeMap<PartKey, PartWeight> {
+    fn weights(&self, survivors: &BTreeSet<EngineRun>) -> BTreeMap<PartKey, PartWeight> {
         let mut weights: BTreeMap<PartKey, PartWeight> = BTreeMap::new();
-        for group in self.groups() {
+        for group in self.groups(survivors) {
             let mut found: BTreeMap<PartKey, (usize, usize)> = BTreeMap::new();
             for crash in &group {
                 for (part, position) in &crash.parts {
@@ -234,8 +242,10 @@
     }
 
     /// The crashes in groups that count as one each, because they began together.
-    fn groups(&self) -> Vec<Vec<&EngineCrash>> {
-        let mut crashes: Vec<&EngineCrash> = self.crashes.values().collect();
+    fn groups(&self, survivors: &BTreeSet<EngineRun>) -> Vec<Vec<&EngineCrash>> {
+        let crashes = self.crashes.iter();
+        let crashes = crashes.filter(|(run, _)| !survivors.contains(*run));
+        let mut crashes: Vec<&EngineCrash> = crashes.map(|(_, crash)| crash).collect();
         crashes.sort_by_key(|crash| crash.at);
         let mut groups: Vec<Vec<&EngineCrash>> = Vec::new();
         for crash in crashes {
--- a/crates/core/src/policy/quarantine/mod.rs
+++ b/crates/core/src/policy/quarantine/mod.rs
@@ -4,6 +4,7 @@
 mod answered_parts;
 mod crash_evidence;
 mod crash_report;
+mod engine_run;
 mod part_answer;
 mod part_key;
 mod quarantine_notice;
@@ -13,6 +14,7 @@
     answered_parts::AnsweredParts,
     crash_evidence::CrashEvidence,
     crash_report::CrashReport,
+    engine_run::EngineRun,
     part_answer::PartAnswer,
     part_key::{PartKey, PartKeyError},
     quarantine_notice::QuarantineNotice,
--- a/crates/core/tests/prompt_quarantine.rs
+++ b/crates/core/tests/prompt_quarantine.rs
@@ -1,6 +1,6 @@
 //! Quarantine of parts of prompts that crash engines.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use fastrand::Rng;
 use verbenahub_core::{
@@ -8,7 +8,7 @@
     engines::PromptPart,
     ids::TargetId,
     policy::quarantine::{
-        AnsweredParts, CrashEvidence, CrashReport, PartAnswer, PartKey, QuarantinedParts,
+        AnsweredParts, CrashEvidence, CrashReport, EngineRun, PartAnswer, PartKey, QuarantinedParts,
     },
     units::TokenCount,
 };
@@ -25,10 +25,16 @@
     names.iter().map(|name| part(name)).collect()
 }
 
+fn run(engine: &str, started_at: u64) -> EngineRun {
+    EngineRun {
+        engine: TargetId::new(engine).expect("a valid id"),
+        started_at: Some(started_at),
+    }
+}
+
 fn report(engine: &str, names: &[&str]) -> CrashReport {
     CrashReport {
-        engine: TargetId::new(engine).expect("a valid id"),
-        started_at: Some(1),
+        run: run(engine, 1),
         parts: parts(names),
         age: TimeSpan::ZERO,
     }
@@ -58,7 +64,7 @@
                 let known = found.clone();
                 let is_quarantined = |part| known.contains(&part);
                 evidence.record_crash(&report(engine, names), is_quarantined, at(*millis));
-                while let Some(part) = evidence.deadly_part(|_| false) {
+                while let Some(part) = evidence.deadly_part(|_| false, &BTreeSet::new()) {
                     evidence.explain(part, at(*millis));
                     found.push(part);
                 }
@@ -162,11 +168,29 @@
 fn part_that_was_quarantined_before_takes_one_crash() {
     let mut evidence = CrashEvidence::default();
     evidence.record_crash(&report("e1", &["a", "x"]), |_| false, at(1_000));
-    assert_eq!(evidence.deadly_part(|_| false), None);
+    assert_eq!(evidence.deadly_part(|_| false, &BTreeSet::new()), None);
     let is_known = |known| known == part("x");
-    assert_eq!(evidence.deadly_part(is_known), Some(part("x")));
+    assert_eq!(
+        evidence.deadly_part(is_known, &BTreeSet::new()),
+        Some(part("x"))
+    );
     evidence.record_answers(&[answer("x")], at(1_100));
-    assert_eq!(evidence.deadly_part(is_known), None);
+    assert_eq!(evidence.deadly_part(is_known, &BTreeSet::new()), None);
+}
+
+/// Engines that reset single connections are still there.
+#[test]
+fn engine_that_is_still_there_has_not_crashed() {
+    let mut evidence = CrashEvidence::default();
+    for (engine, millis) in [("e1", 1_000), ("e2", 2_000), ("e3", 3_000)] {
+        evidence.record_crash(&report(engine, &["c"]), |_| false, at(millis));
+    }
+    let runs = evidence.runs_with(part("c"));
+    assert_eq!(runs, [run("e1", 1), run("e2", 1), run("e3", 1)]);
+    let none = BTreeSet::new();
+    assert_eq!(evidence.deadly_part(|_| false, &none), Some(part("c")));
+    let survivors = BTreeSet::from([run("e2", 1)]);
+    assert_eq!(evidence.deadly_part(|_| false, &survivors), None);
 }
 
 #[test]
@@ -261,8 +285,7 @@
                     for (names, ..) in waiting[engine].drain(..) {
                         let is_quarantined = |name| found.contains(&name);
                         let report = CrashReport {
-                            engine: TargetId::new(&format!("e{engine}")).expect("a valid id"),
-                            started_at: Some(runs[engine]),
+                            run: run(&format!("e{engine}"), runs[engine]),
                             parts: names,
                             age: TimeSpan::ZERO,
                         };
@@ -278,7 +301,7 @@
                     });
                     let known: Vec<PartAnswer> = known.collect();
                     evidence.record_answers(&known, at(millis));
-                    while let Some(name) = evidence.deadly_part(|_| false) {
+                    while let Some(name) = evidence.deadly_part(|_| false, &BTreeSet::new()) {
                         evidence.explain(name, at(millis));
                         result.found_deadly |= name == deadly;
                         result.wrong += usize::from(name != deadly);
--- a/crates/gateway/src/quarantine/crash_owner.rs
+++ b/crates/gateway/src/quarantine/crash_owner.rs
@@ -1,5 +1,6 @@
 use std::{
     cell::{Cell, RefCell},
+    collections::BTreeSet,
     net::SocketAddr,
 };
 
@@ -8,11 +9,12 @@
     clock::TimeSpan,
     fleet::weighted_order,
     ids::NodeId,
-    policy::quarantine::{CrashEvidence, PartAnswer, PartKey, QuarantineNotice},
+    policy::quarantine::{CrashEvidence, EngineRun, PartAnswer, PartKey, QuarantineNotice},
 };
 
 use super::{AnswerQuery, AnswerReply, CrashBatch, CrashReply, QuarantineUpdate};
 use crate::{
+    http::HttpStream,
     peers::{ANSWER_QUERY_PATH, PeerAck, QUARANTINE_PATH},
     process::Shared,
     targets::within,
@@ -22,6 +24,9 @@
 const OWNER_KEY: &str = "prompt-quarantine";
 /// Timeout for the replies of all nodes on which parts they have seen answered.
 const QUERY_TIMEOUT: TimeSpan = TimeSpan::from_millis(400);
+/// Timeout for connecting to an engine that may have crashed. A crashed one refuses at
+/// once.
+const CONNECT_TIMEOUT: TimeSpan = TimeSpan::from_millis(200);
 /// Timeout for telling a node which parts are quarantined. Gossip tells those that
 /// don't respond.
 const UPDATE_TIMEOUT: TimeSpan = TimeSpan::from_millis(1_000);
@@ -62,7 +67,7 @@
                 .borrow_mut()
                 .record_crash(report, is_quarantined, now);
             slog::info!(shared.log, "quarantine: Crash received.";
-                "target" => %report.engine, "started_at" => report.started_at,
+                "target" => %report.run.engine, "started_at" => report.run.started_at,
                 "age" => %report.age, "parts" => part_list(&report.parts));
         }
         if !batch.reports.is_empty() {
@@ -84,7 +89,8 @@
     }
 
     /// Asks all nodes which of the suspected parts they have seen answered, and
-    /// quarantines the parts that are left with the strongest evidence.
+    /// quarantines the parts that are left with the strongest evidence, unless engines
+    /// that seemed to have crashed are still there.
     async fn decide(&self, shared: &Shared) {
         let is_remembered = |part| shared.quarantine.is_remembered(part);
         let suspects = self.evidence.borrow().suspects(is_remembered);
@@ -92,18 +98,31 @@
             return;
         }
         let answers = query_answers(shared, &suspects).await;
-        let mut evidence = self.evidence.borrow_mut();
-        evidence.record_answers(&answers, shared.now());
+        self.evidence
+            .borrow_mut()
+            .record_answers(&answers, shared.now());
         let mut begun = Vec::new();
-        while let Some(part) = evidence.deadly_part(is_remembered) {
+        let (mut checked, mut survivors) = (BTreeSet::new(), BTreeSet::new());
+        loop {
+            let deadly = self
+                .evidence
+                .borrow()
+                .deadly_part(is_remembered, &survivors);
+            let Some(part) = deadly else { break };
+            let mut runs = self.evidence.borrow().runs_with(part);
+            runs.retain(|run| !checked.contains(run));
+            if !runs.is_empty() {
+                survivors.extend(find_survivors(shared, &runs).await);
+                checked.extend(runs);
+                continue;
+            }
             let notice = shared.quarantine.begin(shared, part);
-            let crashes = evidence.explain(part, shared.now());
+            let crashes = self.evidence.borrow_mut().explain(part, shared.now());
             slog::warn!(shared.log, "quarantine: Part of prompts quarantined.";
                 "part" => %part, "crashes" => crashes, "suspects" => suspects.len(),
                 "period" => %notice.period);
             begun.push(notice);
         }
-        drop(evidence);
         if !begun.is_empty() {
             announce(shared, &begun);
         }
@@ -149,6 +168,42 @@
     answers
 }
 
+/// The runs that are still registered and accept connections.
+async fn find_survivors(shared: &Shared, runs: &[EngineRun]) -> Vec<EngineRun> {
+    let registered = registered_runs(shared, runs);
+    let (sender, receiver) = async_channel::unbounded();
+    let checked = registered.len();
+    for (run, address) in registered {
+        let sender = sender.clone();
+        shared.tasks.spawn(async move {
+            if HttpStream::connect(address).await.is_ok() {
+                // Fails if the decision no longer waits.
+                drop(sender.send(run).await);
+            }
+        });
+    }
+    drop(sender);
+    let mut survivors = Vec::new();
+    let collect = async {
+        while let Ok(run) = receiver.recv().await {
+            survivors.push(run);
+        }
+    };
+    within(CONNECT_TIMEOUT, collect).await;
+    slog::info!(shared.log, "quarantine: Checked for survivors.";
+        "runs" => runs.len(), "checked" => checked, "survivors" => survivors.len());
+    survivors
+}
+
+fn registered_runs(shared: &Shared, runs: &[EngineRun]) -> Vec<(EngineRun, SocketAddr)> {
+    let registry = shared.registry.borrow();
+    let registered = runs.iter().filter_map(|run| {
+        let record = registry.get(&run.engine)?;
+        (EngineRun::of(record) == *run).then(|| (run.clone(), record.address))
+    });
+    registered.collect()
+}
+
 /// Tells all nodes which parts are quarantined.
 fn announce(shared: &Shared, notices: &[QuarantineNotice]) {
     for (node, address) in other_nodes(shared) {
--- a/crates/gateway/src/quarantine/crash_reporter.rs
+++ b/crates/gateway/src/quarantine/crash_reporter.rs
@@ -8,7 +8,7 @@
 use verbenahub_core::{
     clock::{ClockTime, TimeSpan},
     ids::{IncarnationNumber, NodeId},
-    policy::quarantine::{CrashReport, PartKey},
+    policy::quarantine::{CrashReport, EngineRun, PartKey},
     targets::TargetRecord,
 };
 
@@ -64,8 +64,7 @@
         reports.push_back(HeldReport {
             number,
             report: CrashReport {
-                engine: record.id.clone(),
-                started_at: record.started_at,
+                run: EngineRun::of(record),
                 parts: parts.to_vec(),
                 age: TimeSpan::ZERO,
             },
--- a/crates/gateway/tests/deadly_prompts.rs
+++ b/crates/gateway/tests/deadly_prompts.rs
@@ -120,7 +120,8 @@
                 self.register_engines();
                 let is_deadly = index % DEADLY_EVERY == DEADLY_EVERY - 1;
                 let third = if is_deadly {
-                    DEADLY.to_owned()
+                    // The part after it decides which engine is preferred.
+                    format!("{DEADLY}:160,d{}", index % 9)
                 } else {
                     format!("c{}", index % 5)
                 };
@@ -170,7 +171,7 @@
 
 /// A request whose prompt shares its first two parts with all others.
 fn prompt_request(path: &str, index: usize, third: &str) -> CallerRequest {
-    let prompt = format!("a1:2600,b{}:1700,{third}:160,f{index:05}:300", index % 3);
+    let prompt = format!("a1:2600,b{}:1700,{third}:160,f{index:05}:300", index % 5);
     CallerRequest::new("POST", path, &format!("r{index}")).with_header("Prompt-Prefix", &prompt)
 }
 
@@ -249,8 +250,8 @@
     assert_eq!(fixture.crashes(), crashes);
 }
 
-/// All engines lose their connections at the same moment, four times, without a
-/// part that is to blame.
+/// All engines crash at the same moment, four times, without a part that is to
+/// blame.
 #[test]
 fn engines_that_crash_together_quarantine_nothing() {
     let fixture = CrashFixture::start(crash_reply);
@@ -284,3 +285,18 @@
         assert_eq!(gateway.metric("quarantined_parts"), Some(0.0));
     }
 }
+
+/// Requests with one part always lose their connection, but the engines go on.
+#[test]
+fn engines_that_reset_single_connections_quarantine_nothing() {
+    let fixture = CrashFixture::start(|call| {
+        EngineTarget::head(call)
+            .then(ReplyStep::Wait(CRASH_DELAY))
+            .then(ReplyStep::Close)
+    });
+    let sound = fixture.send_requests("/tell/x", REQUESTS / 2);
+    assert!(sound.iter().all(|response| response.is_complete));
+    for gateway in &fixture.gateways {
+        assert_eq!(gateway.metric("quarantined_parts"), Some(0.0));
+    }
+}
