Bound the connections that check for survivors

Read of the diff: the decision waited 0.2 s for engines to accept, but the attempts themselves went on for as long as the kernel tries, each with a descriptor. They end with the wait now.

--- a/crates/core/src/policy/quarantine/crash_evidence.rs
+++ b/crates/core/src/policy/quarantine/crash_evidence.rs
@@ -20,7 +20,6 @@
 const MAX_CRASH_PARTS: usize = 128;
 /// Maximum number of parts whose last answers are remembered.
 const MAX_ANSWERS: usize = 4_096;
-
 /// Maximum number of parts that are remembered as runners-up.
 const MAX_RUNNERS_UP: usize = 64;
 
--- a/crates/gateway/src/quarantine/crash_owner.rs
+++ b/crates/gateway/src/quarantine/crash_owner.rs
@@ -176,7 +176,8 @@
     for (run, address) in registered {
         let sender = sender.clone();
         shared.tasks.spawn(async move {
-            if HttpStream::connect(address).await.is_ok() {
+            let connected = within(CONNECT_TIMEOUT, HttpStream::connect(address)).await;
+            if matches!(connected, Some(Ok(_))) {
                 // Fails if the decision no longer waits.
                 drop(sender.send(run).await);
             }
