Show the late request at a draining engine by its wait for a permit

Cause: a request that has reserved a permit sleeps up to 3 s and is then sent without another look at the registry. The stand-ins lose what no case uses.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -5,4 +5,4 @@
 for program in target/review/rig target/release/verbenahub-gateway; do
     [ -x "$program" ] || { echo "not built: $program"; exit 2; }
 done
-target/review/rig late-drain review/4
+target/review/rig late-permit review/4
--- a/review/rig/endless_events.rs
+++ b/review/rig/endless_events.rs
@@ -27,8 +27,22 @@
 
 pub fn run(case: Case) -> ! {
     let routes = [
-        route("/tell/", "streaming", "pool", 15_000, 1_400, ",\"Attempts\":1,\"Sticky\":true"),
-        route("/book/", "non_idempotent", "desk", TIMEOUT_MS as u32, 100, ",\"Attempts\":1"),
+        route(
+            "/tell/",
+            "streaming",
+            "pool",
+            15_000,
+            1_400,
+            ",\"Attempts\":1,\"Sticky\":true",
+        ),
+        route(
+            "/book/",
+            "non_idempotent",
+            "desk",
+            TIMEOUT_MS as u32,
+            100,
+            ",\"Attempts\":1",
+        ),
     ];
     case.store.put("op/config", &config(7, &routes));
     let trouble = case.trouble;
@@ -85,14 +99,21 @@
             let Ok(mut channel) = Channel::open(front) else {
                 return;
             };
-            channel.send(&request("POST", "/tell/a", &id, 15_000, &prompt(number + 77)));
+            channel.send(&request(
+                "POST",
+                "/tell/a",
+                &id,
+                15_000,
+                &prompt(number + 77),
+            ));
             note.note(format!("requester sends {id}"));
             let mut bytes = vec![0; 1 << 20];
             let mut total = 0;
             let mut event_at = Instant::now();
             while let Ok(count @ 1..) = channel.stream.read(&mut bytes) {
                 total += count;
-                let has_event = total < 4_096 || bytes[..count].windows(4).any(|text| text == b"id: ");
+                let has_event =
+                    total < 4_096 || bytes[..count].windows(4).any(|text| text == b"id: ");
                 if has_event {
                     event_at = Instant::now();
                 }
@@ -101,7 +122,9 @@
                     break;
                 }
             }
-            note.note(format!("requester has read {total} bytes of {id} and closes its channel"));
+            note.note(format!(
+                "requester has read {total} bytes of {id} and closes its channel"
+            ));
             drop(channel);
             streams.fetch_add(1, Ordering::SeqCst);
         });
@@ -138,7 +161,9 @@
         pause(100);
     }
     let is_ready = gateway.is_ready(ms(1_000));
-    case.record.note(format!("readiness check answered with 200 within a second: {is_ready}"));
+    case.record.note(format!(
+        "readiness check answered with 200 within a second: {is_ready}"
+    ));
     for requester in requesters {
         let _ = requester.join();
     }
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -1,7 +1,7 @@
 //! Runs one case of the review: `rig CASE FOLDER`.
 
 mod endless_events;
-mod late_drain;
+mod late_permit;
 mod rig;
 mod spoilt_stream;
 mod stage_copy;
@@ -18,7 +18,7 @@
         let state = rig::Case::start(&folder);
         match case.as_str() {
             "endless-events" => endless_events::run(state),
-            "late-drain" => late_drain::run(state),
+            "late-permit" => late_permit::run(state),
             "spoilt-stream" => spoilt_stream::run(state),
             "stage-copy" => stage_copy::run(state),
             "two-runs" => two_runs::run(state),
--- a/review/rig/rig.rs
+++ b/review/rig/rig.rs
@@ -76,13 +76,14 @@
         let nanos = SystemTime::now()
             .duration_since(UNIX_EPOCH)
             .map_or(1, |time| time.subsec_nanos());
-        let temporary = std::env::temp_dir().join(format!(
-            "verbenahub-review-{}-{nanos}",
-            std::process::id()
-        ));
+        let temporary =
+            std::env::temp_dir().join(format!("verbenahub-review-{}-{nanos}", std::process::id()));
         fs::create_dir_all(&temporary).expect("temporary folder");
         let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-        record.note(format!("disruption: {}", if trouble { "on" } else { "off" }));
+        record.note(format!(
+            "disruption: {}",
+            if trouble { "on" } else { "off" }
+        ));
         let note = record.clone();
         let watched_folder = temporary.clone();
         thread::spawn(move || {
@@ -147,13 +148,7 @@
             Err(error) => self.cannot_run(&format!("the gateway does not start: {error}")),
         };
         lock(&CHILDREN).push(child);
-        let log = self.folder.join(format!("log-{number}.txt"));
-        Gateway {
-            front,
-            ready,
-            control,
-            log,
-        }
+        Gateway { front, ready }
     }
 
     /// Waits until a gateway answers its readiness check with 200.
@@ -168,18 +163,6 @@
         self.cannot_run("a gateway did not become ready");
     }
 
-    /// Waits until a gateway's log has `count` lines with a text.
-    pub fn wait_log(&self, gateway: &Gateway, text: &str, count: usize) {
-        let until = Instant::now() + ms(15_000);
-        while Instant::now() < until {
-            if gateway.log_count(text) >= count {
-                return;
-            }
-            pause(50);
-        }
-        self.cannot_run(&format!("no log line with `{text}`"));
-    }
-
     pub fn cannot_run(&self, why: &str) -> ! {
         self.record.note(format!("could not run: {why}"));
         eprintln!("could not run: {why}");
@@ -204,23 +187,6 @@
             println!("kept {}", self.folder.display());
         }
     }
-
-    pub fn signal_gateway(&self, index: usize, signal: &str) {
-        let children = lock(&CHILDREN);
-        let Some(child) = children.get(index) else {
-            return;
-        };
-        let _ = Command::new("sh")
-            .args(["-c", &format!("kill -{signal} {}", child.id())])
-            .status();
-    }
-
-    /// Whether the process of a gateway still runs.
-    pub fn is_running(&self, index: usize) -> bool {
-        let mut children = lock(&CHILDREN);
-        let child = children.get_mut(index);
-        child.is_some_and(|child| matches!(child.try_wait(), Ok(None)))
-    }
 }
 
 /// Ends the gateways that were started.
@@ -236,8 +202,6 @@
 pub struct Gateway {
     pub front: SocketAddr,
     pub ready: SocketAddr,
-    pub control: SocketAddr,
-    pub log: PathBuf,
 }
 
 impl Gateway {
@@ -251,17 +215,11 @@
             .read_answer(Instant::now() + patience)
             .is_some_and(|answer| answer.status == 200)
     }
-
-    pub fn log_count(&self, text: &str) -> usize {
-        let log = fs::read_to_string(&self.log).unwrap_or_default();
-        log.lines().filter(|line| line.contains(text)).count()
-    }
 }
 
 /// A message head and body as received.
 #[derive(Clone, Debug, Default)]
 pub struct Call {
-    pub method: String,
     pub target: String,
     pub headers: Vec<(String, String)>,
     pub body: Vec<u8>,
@@ -398,12 +356,11 @@
     pub fn read_call(&mut self, number: usize) -> Option<Call> {
         let line = self.take_line(None)?;
         let mut words = line.split(' ');
-        let (method, target) = (words.next()?.to_owned(), words.next()?.to_owned());
+        let target = words.nth(1)?.to_owned();
         let headers = self.take_headers(None)?;
         let length = find_header(&headers, "Content-Length").and_then(|text| text.parse().ok());
         let body = self.take_bytes(length.unwrap_or(0), None)?;
         Some(Call {
-            method,
             target,
             headers,
             body,
@@ -507,10 +464,7 @@
 
 /// A replica's signed success.
 pub fn signed(call: &Call, body: &str) -> Vec<u8> {
-    let headers = [
-        ("Attempt-Id", call.id()),
-        ("Response-Signature", "3e1b.07"),
-    ];
+    let headers = [("Attempt-Id", call.id()), ("Response-Signature", "3e1b.07")];
     answer("200 OK", &headers, body.as_bytes())
 }
 
@@ -558,7 +512,6 @@
     revision: u64,
     items: BTreeMap<String, (String, u64)>,
     history: Vec<Change>,
-    is_cut: bool,
 }
 
 /// The platform's store, which gateways read over HTTP.
@@ -608,12 +561,6 @@
         self.state.1.notify_all();
     }
 
-    /// Answers all calls with 503 from now on, or no longer.
-    pub fn set_busy(&self, is_cut: bool) {
-        lock(&self.state.0).is_cut = is_cut;
-        self.state.1.notify_all();
-    }
-
     /// Registers a replica.
     pub fn register(&self, id: &str, service: &str, zone: &str, slots: u32, address: SocketAddr) {
         self.register_as(id, service, zone, slots, address, "ready");
@@ -637,14 +584,8 @@
     }
 }
 
-fn answer_store(
-    shared: &(Mutex<StoreState>, Condvar),
-    call: &Call,
-) -> (&'static str, String) {
+fn answer_store(shared: &(Mutex<StoreState>, Condvar), call: &Call) -> (&'static str, String) {
     let mut state = lock(&shared.0);
-    if state.is_cut {
-        return ("503 Service Unavailable", "{}".to_owned());
-    }
     let item = |key: &str, value: &str, revision: u64| {
         format!(
             "{{\"Key\":\"{key}\",\"Value\":\"{value}\",\"Revision\":{revision},\
@@ -673,9 +614,6 @@
             let until = Instant::now() + ms(number("WaitMs").unwrap_or_default());
             let prefix = call.parameter("Prefix").unwrap_or_default();
             loop {
-                if state.is_cut {
-                    return ("503 Service Unavailable", "{}".to_owned());
-                }
                 let changes = state.history.iter();
                 let events: Vec<String> = changes
                     .filter(|change| change.revision > after && change.key.starts_with(prefix))
@@ -725,7 +663,14 @@
 
 /// A route as the operator writes it. `rest` holds further fields, each with a comma
 /// before it.
-pub fn route(prefix: &str, kind: &str, service: &str, timeout: u32, goal: u32, rest: &str) -> String {
+pub fn route(
+    prefix: &str,
+    kind: &str,
+    service: &str,
+    timeout: u32,
+    goal: u32,
+    rest: &str,
+) -> String {
     format!(
         "{{\"Name\":\"r{}\",\"Host\":\"shop.example\",\"Prefix\":\"{prefix}\",\"Kind\":\"{kind}\",\
          \"TimeoutMs\":{timeout},\"GoalMs\":{goal},\"Priority\":1,\"Service\":\"{service}\",\
--- a/review/rig/spoilt_stream.rs
+++ b/review/rig/spoilt_stream.rs
@@ -62,7 +62,13 @@
         let Ok(mut channel) = Channel::open(gateway.front) else {
             case.cannot_run("no channel")
         };
-        channel.send(&request("POST", "/tell/a", &id, 15_000, &prompt(number + 77)));
+        channel.send(&request(
+            "POST",
+            "/tell/a",
+            &id,
+            15_000,
+            &prompt(number + 77),
+        ));
         let Some(answer) = channel.read_answer(Instant::now() + ms(5_000)) else {
             case.record.note(format!("{id}: no answer"));
             continue;
--- a/review/rig/stage_copy.rs
+++ b/review/rig/stage_copy.rs
@@ -74,7 +74,9 @@
             }
             // The copy comes on the channel of the refusal, which the gateway has kept.
             if trouble && call.number > 0 && has_copy.swap(false, Ordering::SeqCst) {
-                note.note(format!("{own} sends the 503 a second time, before its answer to call {count}"));
+                note.note(format!(
+                    "{own} sends the 503 a second time, before its answer to call {count}"
+                ));
                 copies.fetch_add(1, Ordering::SeqCst);
                 channel.send(&lock(&refusals).clone());
             }
@@ -90,13 +92,18 @@
                 let position = field(piece, "Piece").to_owned();
                 let name = next_result.fetch_add(0x0101_0101, Ordering::SeqCst);
                 let handle = format!("{address}/{name:x}");
-                note.note(format!("{own} call {count}: piece {position} of {request} is {handle}"));
+                note.note(format!(
+                    "{own} call {count}: piece {position} of {request} is {handle}"
+                ));
                 lock(&results).insert(handle.clone(), (request, position));
                 ends.push(format!("{{\"Handle\":\"{handle}\"}}"));
             }
             drop(turn);
             let body = format!("{{\"Items\":[{}]}}", ends.join(","));
-            let mut headers = vec![("Content-Type", "application/json"), ("Instance-Load", "0,0,1")];
+            let mut headers = vec![
+                ("Content-Type", "application/json"),
+                ("Instance-Load", "0,0,1"),
+            ];
             headers.extend(echo.map(|id| ("Attempt-Id", id)));
             channel.send(&answer("200 OK", &headers, body.as_bytes()))
         });
@@ -108,7 +115,11 @@
     for number in 0..2 {
         let id = format!("engine-{number}");
         let (own, note) = (id.clone(), case.record.clone());
-        let (results, foreign, runs) = (Arc::clone(&results), Arc::clone(&foreign), Arc::clone(&runs));
+        let (results, foreign, runs) = (
+            Arc::clone(&results),
+            Arc::clone(&foreign),
+            Arc::clone(&runs),
+        );
         let address = serve(move |channel, call| {
             if is_misdirected(channel, &call, &own) {
                 return true;
@@ -122,7 +133,11 @@
                 if is_foreign {
                     foreign.fetch_add(1, Ordering::SeqCst);
                 }
-                let verdict = if is_foreign { "FOREIGN INPUT" } else { "own input" };
+                let verdict = if is_foreign {
+                    "FOREIGN INPUT"
+                } else {
+                    "own input"
+                };
                 note.note(format!(
                     "{own} runs {} with {input}, piece {piece} of {request}: {verdict}",
                     call.id()
@@ -179,7 +194,10 @@
     let foreign = count(&foreign);
     let summary = format!(
         "MIXED: {} refusal sent twice; {} requests, {} runs at engines, {} served whole, {foreign} inputs of other requests",
-        count(&copies), REQUESTS, count(&runs), count(&served)
+        count(&copies),
+        REQUESTS,
+        count(&runs),
+        count(&served)
     );
     case.finish(foreign > 0, &summary)
 }
--- a/review/rig/two_runs.rs
+++ b/review/rig/two_runs.rs
@@ -34,7 +34,14 @@
 
 pub fn run(case: Case) -> ! {
     let rest = ",\"Attempts\":2,\"Sticky\":true,\"Resumable\":true";
-    let routes = [route("/answer/", "streaming", "pool", TIMEOUT_MS, GOAL_MS, rest)];
+    let routes = [route(
+        "/answer/",
+        "streaming",
+        "pool",
+        TIMEOUT_MS,
+        GOAL_MS,
+        rest,
+    )];
     case.store.put("op/config", &config(7, &routes));
     let trouble = case.trouble;
     let is_warm = Arc::new(AtomicBool::new(false));
@@ -82,7 +89,10 @@
                 }
                 let is_taken = is_lost || channel.send(&chunk(&event(&call, number)));
                 if channel.is_closed() || !is_taken {
-                    note.note(format!("{own}: {} closed by the gateway at event {number}", call.id()));
+                    note.note(format!(
+                        "{own}: {} closed by the gateway at event {number}",
+                        call.id()
+                    ));
                     return false;
                 }
                 lock(&runs)[index].3 = note.now();
@@ -111,14 +121,22 @@
             case.cannot_run("no channel")
         };
         let id = format!("before-{number}");
-        channel.send(&request("POST", "/answer/a", &id, 5_000, &prompt(number + 7_000)));
+        channel.send(&request(
+            "POST",
+            "/answer/a",
+            &id,
+            5_000,
+            &prompt(number + 7_000),
+        ));
         let answer = channel.read_answer(Instant::now() + ms(5_000));
         if !answer.is_some_and(|answer| answer.is_complete) {
             case.record.note(format!("{id} was not served"));
         }
     }
     let counts = answers.each_ref().map(|count| count.load(Ordering::SeqCst));
-    case.record.note(format!("the engines have answered {counts:?} streams before"));
+    case.record.note(format!(
+        "the engines have answered {counts:?} streams before"
+    ));
     is_warm.store(true, Ordering::SeqCst);
     let begun = Instant::now();
     let note = case.record.clone();
@@ -126,10 +144,18 @@
         let mut channel = Channel::open(front).ok()?;
         note.note("requester sends stream-0");
         let deadline = u64::from(TIMEOUT_MS);
-        channel.send(&request("POST", "/answer/a", "stream-0", deadline, &prompt(77)));
+        channel.send(&request(
+            "POST",
+            "/answer/a",
+            "stream-0",
+            deadline,
+            &prompt(77),
+        ));
         // Requesters abandon a stream after a gap of four times the objective.
         let mut answer = channel.read_head(begun + ms(deadline))?;
-        let _ = channel.stream.set_read_timeout(Some(ms(4 * u64::from(GOAL_MS))));
+        let _ = channel
+            .stream
+            .set_read_timeout(Some(ms(4 * u64::from(GOAL_MS))));
         let mut text = Vec::new();
         let mut bytes = [0; 4_096];
         while let Ok(count @ 1..) = std::io::Read::read(&mut channel.stream, &mut bytes) {
