Measure how late due tasks run, and the bytes that targets send

Its output can't tell a task that never yields from connections that aren't accepted, or from a lack of processor time: no line or metric says when the executor ran what was due, or how much a target had sent.

Change: a task measures by how much its timer runs late (`executor_delay_seconds`, a warning from 250 ms on), and the bytes of response bodies are counted by service (`target_body_bytes`). No decision is changed.

Ruled out: accepting (the connections wait in the backlog and are all accepted at the end), processor time of others (one process, idle cores).

--- a/crates/gateway/src/process/daemon.rs
+++ b/crates/gateway/src/process/daemon.rs
@@ -15,8 +15,8 @@
 
 use super::{
     DaemonArgs, GatewayClock, GatewayMetrics, GatewaySettings, GatewayState, LocalTasks, LogBuffer,
-    RunError, Shared, drain_driver::DrainDriver, listen, metrics_listener::MetricsListener,
-    readiness_listener::ReadinessListener,
+    RunError, Shared, drain_driver::DrainDriver, executor_monitor::ExecutorMonitor, listen,
+    metrics_listener::MetricsListener, readiness_listener::ReadinessListener,
 };
 use crate::{
     front::CallerListener,
@@ -94,6 +94,7 @@
     ));
     let writer = log_buffer.clone();
     tasks.spawn(async move { writer.run().await });
+    tasks.spawn(ExecutorMonitor::new(Shared::clone(&shared)).run());
     tasks.spawn(StoreSync::new(Shared::clone(&shared)).run());
     tasks.spawn(GossipDriver::new(Shared::clone(&shared)).run());
     tasks.spawn(PeerListener::new(Shared::clone(&shared)).run(peers));
--- a/crates/gateway/src/process/gateway_metrics.rs
+++ b/crates/gateway/src/process/gateway_metrics.rs
@@ -1,6 +1,6 @@
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder, core::Collector,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder, core::Collector,
 };
 
 /// Upper bounds of the latency buckets, in seconds. They range from the
@@ -11,6 +11,9 @@
 /// Upper bounds of the buckets for the number of pieces in a stage call.
 const PIECE_BUCKETS: [f64; 8] = [1.0, 2.0, 4.0, 8.0, 16.0, 32.0, 64.0, 128.0];
 
+/// Upper bounds of the buckets for the delay of tasks, in seconds.
+const DELAY_BUCKETS_SECONDS: [f64; 8] = [0.001, 0.005, 0.02, 0.1, 0.25, 0.5, 1.0, 4.0];
+
 /// The metrics of the process.
 #[derive(Debug)]
 pub struct GatewayMetrics {
@@ -38,6 +41,10 @@
     pub quarantined_parts: IntGauge,
     /// Connections opened to targets.
     pub target_connections: IntCounter,
+    /// Bytes of response bodies received from targets, by service.
+    pub target_body_bytes: IntCounterVec,
+    /// Seconds by which tasks that were due ran late.
+    pub executor_delay_seconds: Histogram,
     /// Seconds from the offer of a set of pieces to its results, by service.
     pub stage_seconds: HistogramVec,
     /// Pieces per call to a stage target, by service.
@@ -73,100 +80,90 @@
     /// Fails when a name is invalid or two metrics have the same name.
     pub fn new() -> Result<Self, prometheus::Error> {
         let registry = Registry::new();
-        let registry_ref = &registry;
+        let group = &registry;
         Ok(Self {
-            requests: counters(registry_ref, "requests", "Requests", &["kind", "outcome"])?,
+            requests: counters(group, "requests", "Requests", &["kind", "outcome"])?,
             request_seconds: latencies(
-                registry_ref,
+                group,
                 "request_seconds",
                 "Time to the end of answers",
                 "kind",
             )?,
             first_event_seconds: latencies(
-                registry_ref,
+                group,
                 "first_event_seconds",
                 "Time to the first event of streams",
                 "kind",
             )?,
             attempts: counters(
-                registry_ref,
+                group,
                 "attempts",
                 "Attempts at targets",
                 &["service", "end"],
             )?,
             broken_answers: counters(
-                registry_ref,
+                group,
                 "broken_answers",
                 "Answers that broke off",
                 &["service", "phase"],
             )?,
             limited_sends: counters(
-                registry_ref,
+                group,
                 "limited_sends",
                 "Requests sent to targets that had named a limit",
                 &["service", "purpose"],
             )?,
             permits: counters(
-                registry_ref,
+                group,
                 "permits",
                 "Decisions on permits for limited targets",
                 &["service", "outcome"],
             )?,
-            limited_targets: gauge(
-                registry_ref,
-                "limited_targets",
-                "Targets that have named a limit",
-            )?,
+            limited_targets: gauge(group, "limited_targets", "Targets that have named a limit")?,
             quarantined_parts: gauge(
-                registry_ref,
+                group,
                 "quarantined_parts",
                 "Parts of prompts that are quarantined",
             )?,
             target_connections: counter(
-                registry_ref,
+                group,
                 "target_connections",
                 "Connections opened to targets",
             )?,
-            stage_seconds: latencies(registry_ref, "stage_seconds", "Time of sets", "service")?,
+            target_body_bytes: counters(
+                group,
+                "target_body_bytes",
+                "Bytes from targets",
+                &["service"],
+            )?,
+            executor_delay_seconds: delays(group, "executor_delay_seconds", "Delay of tasks")?,
+            stage_seconds: latencies(group, "stage_seconds", "Time of sets", "service")?,
             call_pieces: histograms(
-                registry_ref,
+                group,
                 "call_pieces",
                 "Pieces of calls to stages",
                 "service",
                 PIECE_BUCKETS.to_vec(),
             )?,
-            stage_calls: counters(
-                registry_ref,
-                "stage_calls",
-                "Calls to stages",
-                &["service", "end"],
-            )?,
-            store_calls: counters(registry_ref, "store_calls", "Calls to the store", &["end"])?,
+            stage_calls: counters(group, "stage_calls", "Calls to stages", &["service", "end"])?,
+            store_calls: counters(group, "store_calls", "Calls to the store", &["end"])?,
             peer_calls: counters(
-                registry_ref,
+                group,
                 "peer_calls",
                 "Calls to gateways",
                 &["purpose", "end"],
             )?,
-            in_flight: gauge(registry_ref, "requests_in_flight", "Requests in progress")?,
-            config_version: gauge(registry_ref, "config_version", "Version in force")?,
+            in_flight: gauge(group, "requests_in_flight", "Requests in progress")?,
+            config_version: gauge(group, "config_version", "Version in force")?,
             store_era: gauge(
-                registry_ref,
+                group,
                 "store_era",
                 "Times that the store came back from a copy",
             )?,
-            targets: gauge(registry_ref, "targets", "Registered targets")?,
-            members: gauge(registry_ref, "members", "Gateways that seem to live")?,
-            ready: gauge(
-                registry_ref,
-                "ready",
-                "Whether the node takes new connections",
-            )?,
-            dropped_lines: gauge(
-                registry_ref,
-                "dropped_log_lines",
-                "Log lines that were dropped",
-            )?,
+            targets: gauge(group, "targets", "Registered targets")?,
+            members: gauge(group, "members", "Gateways that seem to live")?,
+            ready: gauge(group, "ready", "Whether the node takes new connections")?,
+            dropped_lines: gauge(group, "dropped_log_lines", "Log lines that were dropped")?,
             registry,
         })
     }
@@ -230,6 +227,12 @@
     )
 }
 
+fn delays(registry: &Registry, name: &str, help: &str) -> Result<Histogram, prometheus::Error> {
+    let options = HistogramOpts::new(metric_name(name), help);
+    let options = options.buckets(DELAY_BUCKETS_SECONDS.to_vec());
+    register(registry, Histogram::with_opts(options)?)
+}
+
 fn histograms(
     registry: &Registry,
     name: &str,
--- a/crates/gateway/src/process/mod.rs
+++ b/crates/gateway/src/process/mod.rs
@@ -4,6 +4,7 @@
 mod accept_loop;
 mod daemon_args;
 mod drain_driver;
+mod executor_monitor;
 mod gateway_clock;
 mod gateway_metrics;
 mod gateway_settings;
--- a/crates/gateway/src/targets/target_exchange.rs
+++ b/crates/gateway/src/targets/target_exchange.rs
@@ -185,7 +185,13 @@
             return Ok(None);
         };
         match self.reader.next(stream).await {
-            Ok(Some(bytes)) => Ok(Some(bytes)),
+            Ok(Some(bytes)) => {
+                let received = &self.shared.metrics.target_body_bytes;
+                received
+                    .with_label_values(&[self.record.service.as_str()])
+                    .inc_by(bytes.len() as u64);
+                Ok(Some(bytes))
+            }
             Ok(None) => {
                 self.finish();
                 Ok(None)
