Give way to other tasks while a peer always has bytes ready

The gateway that relayed it read no other request, answered no readiness check and fired no timer, until the stream's caller left or its route's timeout (15 s) was over. 32 of 40 bookings for a sound service were late.

Cause: a read that finds bytes ready and a write that finds room don't wait, so the relay never returned to the executor of the only thread; the timeout around the read is looked at only when the read waits.

Change: HttpStream::fill yields after four reads in a row that found bytes ready; all input of the gateway comes through it. The accept loop yields after each connection. Blocks without a field are no events: no progress, and 64 KiB of them at most between two events. MeteredStream of verbenahubd yields in the same way.

Why it works: each task gives way after 64 KiB at most, whatever it does with the bytes, so due tasks and timers run between its turns.

--- a/crates/gateway/src/front/event_splitter.rs
+++ b/crates/gateway/src/front/event_splitter.rs
@@ -4,10 +4,20 @@
 /// Maximum number of bytes that are buffered until an event is complete.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
-/// The stream contains an event that exceeds the buffer limit.
+/// Maximum number of bytes in blank lines and comments between two events. Far more
+/// than targets need to keep a connection alive until the deadline of a stream.
+const MAX_FILLER_BYTES: usize = 64 << 10;
+
+/// Why a stream of events is not read any further.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
-#[error("event exceeds {MAX_EVENT_BYTES} bytes")]
-pub struct EventTooLargeError;
+pub enum EventStreamError {
+    /// An event exceeds the buffer limit.
+    #[error("event exceeds {MAX_EVENT_BYTES} bytes")]
+    EventTooLarge,
+    /// Blank lines and comments follow each other without an event.
+    #[error("no event in {MAX_FILLER_BYTES} bytes")]
+    NoEvent,
+}
 
 /// Splits a server-sent event stream into complete events, so that a stream that
 /// breaks off within an event can be resumed at another target.
@@ -18,6 +28,8 @@
     line_start: usize,
     /// Number of buffered bytes already scanned for line ends.
     scanned: usize,
+    /// Size of the blocks without a field since the last event.
+    filler_bytes: usize,
 }
 
 impl EventSplitter {
@@ -25,22 +37,33 @@
     ///
     /// # Errors
     ///
-    /// Fails when more than 1 MiB is buffered.
-    pub fn push(&mut self, bytes: &[u8]) -> Result<(), EventTooLargeError> {
+    /// Fails when more than 1 MiB is buffered, or more than 64 KiB came since the last
+    /// event without a field of another one.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<(), EventStreamError> {
         self.buffer.extend_from_slice(bytes);
         if self.buffer.len() > MAX_EVENT_BYTES {
-            return Err(EventTooLargeError);
+            return Err(EventStreamError::EventTooLarge);
+        }
+        if self.filler_bytes > MAX_FILLER_BYTES {
+            return Err(EventStreamError::NoEvent);
         }
         Ok(())
     }
 
     /// Removes and returns the next complete event, including the empty line that
-    /// ends it.
+    /// ends it. Blank lines and comments between events are returned as blocks of
+    /// their own, which [`has_fields`] tells from events.
     pub fn next_event(&mut self) -> Option<Bytes> {
         let end = self.event_end()?;
         self.line_start = 0;
         self.scanned = 0;
-        Some(self.buffer.split_to(end).freeze())
+        let event = self.buffer.split_to(end).freeze();
+        if has_fields(&event) {
+            self.filler_bytes = 0;
+        } else {
+            self.filler_bytes += event.len();
+        }
+        Some(event)
     }
 
     /// Whether part of an event is buffered.
@@ -61,6 +84,7 @@
         self.buffer.clear();
         self.line_start = 0;
         self.scanned = 0;
+        self.filler_bytes = 0;
     }
 
     /// Position after the empty line that ends the first event. Each byte is
@@ -84,6 +108,13 @@
     }
 }
 
+/// Whether a block of lines is an event. Blocks of blank lines and comments are not.
+#[must_use]
+pub fn has_fields(block: &[u8]) -> bool {
+    let mut lines = block.split(|byte| *byte == b'\n');
+    lines.any(|line| !matches!(line, [] | b"\r" | [b':', ..]))
+}
+
 /// The value of an event's `id` line.
 #[must_use]
 pub fn event_id(event: &[u8]) -> Option<&str> {
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -18,7 +18,7 @@
     active_request::ActiveRequest,
     caller_connection::CallerConnection,
     caller_listener::CallerListener,
-    event_splitter::{EventSplitter, EventTooLargeError},
+    event_splitter::{EventSplitter, EventStreamError},
     gateway_response::GatewayResponse,
     request_end::RequestEnd,
     target_response::TargetResponse,
--- a/crates/gateway/src/front/stream_flow.rs
+++ b/crates/gateway/src/front/stream_flow.rs
@@ -10,7 +10,9 @@
 
 use super::{
     ActiveRequest, EventSplitter, GatewayResponse, RequestEnd, TargetResponse,
-    answer_phase::AnswerPhase, event_splitter::event_id, plain_flow::read_response,
+    answer_phase::AnswerPhase,
+    event_splitter::{event_id, has_fields},
+    plain_flow::read_response,
     target_sender::TargetSender,
 };
 use crate::{
@@ -251,17 +253,19 @@
             }
             let mut chunk = BytesMut::new();
             while let Some(event) = self.splitter.next_event() {
-                if !self.continues_stream(&event) {
-                    let reason = "resumed at an event that was already sent".to_owned();
-                    return EventsEnd::Failed(SendError::Malformed(reason));
+                if has_fields(&event) {
+                    if !self.continues_stream(&event) {
+                        let reason = "resumed at an event that was already sent".to_owned();
+                        return EventsEnd::Failed(SendError::Malformed(reason));
+                    }
+                    self.record_event(&event);
+                    progress_at = shared.now();
                 }
-                self.record_event(&event);
                 chunk.extend_from_slice(&event);
             }
             if chunk.is_empty() {
                 continue;
             }
-            progress_at = shared.now();
             match within(left, caller.write(&encode_chunk(&chunk))).await {
                 Some(Ok(())) => {}
                 Some(Err(error)) => return EventsEnd::CallerGone(error.to_string()),
--- a/crates/gateway/src/http/http_stream.rs
+++ b/crates/gateway/src/http/http_stream.rs
@@ -5,7 +5,7 @@
 };
 
 use bytes::{Buf, Bytes, BytesMut};
-use futures_lite::AsyncWriteExt;
+use futures_lite::{AsyncWriteExt, future};
 use rustix::net::sockopt;
 use smol::{Async, Timer};
 
@@ -13,6 +13,10 @@
 
 /// Number of bytes requested by each read.
 const READ_SIZE: usize = 16 << 10;
+/// Number of reads in a row that find bytes ready before the task yields. Without
+/// it, a peer that sends faster than its bytes are processed would keep the only
+/// thread from all other tasks and timers.
+const MAX_READY_READS: u32 = 4;
 /// Maximum number of headers in a head.
 const MAX_HEADERS: usize = 96;
 /// Maximum size of a response head.
@@ -31,6 +35,8 @@
 pub struct HttpStream {
     socket: Async<TcpStream>,
     pub(super) buffer: BytesMut,
+    /// Reads since the last one that had to wait, or since the task last yielded.
+    ready_reads: u32,
 }
 
 impl HttpStream {
@@ -45,6 +51,7 @@
         Ok(Self {
             socket,
             buffer: BytesMut::new(),
+            ready_reads: 0,
         })
     }
 
@@ -171,14 +178,23 @@
     }
 
     /// Reads more bytes into the buffer. Returns their number, 0 at the end of
-    /// the connection.
+    /// the connection. Yields now and then while bytes are always ready.
     pub(super) async fn fill(&mut self) -> io::Result<usize> {
-        let buffer = &mut self.buffer;
+        if self.ready_reads >= MAX_READY_READS {
+            self.ready_reads = 0;
+            future::yield_now().await;
+        }
+        self.ready_reads += 1;
+        let (buffer, ready_reads) = (&mut self.buffer, &mut self.ready_reads);
         let read = |mut socket: &TcpStream| {
             let mut chunk = [0; READ_SIZE];
-            let count = socket.read(&mut chunk)?;
-            buffer.extend_from_slice(&chunk[..count]);
-            Ok(count)
+            let result = socket.read(&mut chunk);
+            match &result {
+                Ok(count) => buffer.extend_from_slice(&chunk[..*count]),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => *ready_reads = 0,
+                Err(_) => {}
+            }
+            result
         };
         self.socket.read_with(read).await
     }
--- a/crates/gateway/src/process/accept_loop.rs
+++ b/crates/gateway/src/process/accept_loop.rs
@@ -4,6 +4,7 @@
     time::Duration,
 };
 
+use futures_lite::future;
 use smol::{Async, Timer};
 
 use super::Shared;
@@ -38,7 +39,11 @@
             Err(error) => Err(error),
         };
         match stream {
-            Ok(stream) => handle(stream),
+            Ok(stream) => {
+                handle(stream);
+                // Tasks that are due run also while connections keep coming.
+                future::yield_now().await;
+            }
             Err(error) => {
                 slog::warn!(shared.log, "accept: Could not accept a connection.";
                     "part" => part, "error" => %error);
--- a/crates/node/src/connection/metered_stream.rs
+++ b/crates/node/src/connection/metered_stream.rs
@@ -3,7 +3,7 @@
     pin::Pin,
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
     },
     task::{Context, Poll},
 };
@@ -13,6 +13,11 @@
     net::TcpStream,
 };
 
+/// Number of reads in a row that find bytes ready before the task yields. Without
+/// it, a peer that sends faster than its bytes are processed would keep a thread
+/// from all other tasks and timers.
+const MAX_READY_READS: u32 = 4;
+
 /// A TCP stream that counts the bytes read and written and limits the bytes read.
 ///
 /// Clones share the connection and its counters.
@@ -30,6 +35,8 @@
     written_bytes: AtomicU64,
     write_pending: AtomicBool,
     reading_stopped: AtomicBool,
+    /// Reads since the last one that had to wait, or since the task last yielded.
+    ready_reads: AtomicU32,
 }
 
 impl MeteredStream {
@@ -42,6 +49,7 @@
             written_bytes: AtomicU64::new(0),
             write_pending: AtomicBool::new(false),
             reading_stopped: AtomicBool::new(false),
+            ready_reads: AtomicU32::new(0),
         };
         Self {
             stream,
@@ -110,6 +118,12 @@
     }
 
     fn record_read(&self, result: &Poll<io::Result<usize>>) {
+        let ready_reads = &self.meter.ready_reads;
+        if result.is_pending() {
+            ready_reads.store(0, Ordering::Relaxed);
+        } else {
+            ready_reads.fetch_add(1, Ordering::Relaxed);
+        }
         if let Poll::Ready(Ok(bytes)) = result {
             self.meter
                 .read_bytes
@@ -141,6 +155,11 @@
             let error = io::Error::new(io::ErrorKind::FileTooLarge, "more bytes than allowed");
             return Poll::Ready(Err(error));
         }
+        if self.meter.ready_reads.load(Ordering::Relaxed) >= MAX_READY_READS {
+            self.meter.ready_reads.store(0, Ordering::Relaxed);
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         let result = Pin::new(&mut self.stream).poll_read(context, buffer);
         self.record_read(&result);
         result
