Look again whether a target accepts work after each wait

Cause: a target is chosen among those that accept work, then the request waits: for another request's prompt (2 s), a permit (half of its time), a connection (0.4 s). Nothing looked again at the registry after the wait.

Ruled out by the existing lines: a drain that is learned late (targets: Changed. comes within 0.2 s), and a choice that ignores the state (nothing chosen after the change reaches the engine).

Change: a permit is issued only if the run accepts work at the end of the wait; no call is possible without one, calls that free results are exempt. The waits for a permit and for a shared prompt end as soon as the target departs. A new connection is followed by the same check.

Why it works: between the check and the first byte nothing waits any more, whatever the request waited for before.

--- a/crates/gateway/src/engines/engine_client.rs
+++ b/crates/gateway/src/engines/engine_client.rs
@@ -1,5 +1,6 @@
 use std::{cell::RefCell, collections::HashMap, sync::Arc, time::Duration};
 
+use futures_lite::FutureExt;
 use smol::Timer;
 use verbenahub_core::{
     clock::{ClockTime, TimeSpan},
@@ -41,7 +42,7 @@
 impl EngineClient {
     /// Asks the node that chooses engines for all nodes to choose one for a
     /// prompt. If another request is already having the engine read shared parts
-    /// of the prompt, waits until it has read them. Returns `None` if no node
+    /// of the prompt, waits until it has read them or the engine departs. Returns `None` if no node
     /// chooses, it doesn't respond, or it names an engine that is not a candidate
     /// or must be avoided.
     pub async fn choose(
@@ -73,7 +74,8 @@
         let record = Arc::clone(record);
         let assignment = EngineAssignment::new(shared, chooser, record, &ask.request);
         if let Some(reader) = reply.reader {
-            self.wait_until_read(shared, assignment.chooser(), ask, reader)
+            let read = self.wait_until_read(shared, assignment.chooser(), ask, reader);
+            read.or(shared.wait_until_departed(assignment.record()))
                 .await;
         }
         Some(assignment)
--- a/crates/gateway/src/front/target_sender.rs
+++ b/crates/gateway/src/front/target_sender.rs
@@ -30,7 +30,7 @@
 const MISDIRECTED: u16 = 421;
 /// Maximum number of tries per request, including targets that can't be reached.
 const MAX_TRIES: usize = 4;
-/// Maximum number of targets per request whose limits turn out to be used up.
+/// Maximum number of targets per request that turn out to be used up or departed.
 const MAX_DENIALS: usize = 4;
 /// Maximum number of targets that a request may have crashed and is still sent
 /// again.
--- a/crates/gateway/src/process/gateway_state.rs
+++ b/crates/gateway/src/process/gateway_state.rs
@@ -264,6 +264,24 @@
         staying.map(Arc::clone).collect()
     }
 
+    /// Whether the run that a record describes accepts new requests, by what is known
+    /// now.
+    #[must_use]
+    pub fn accepts_work(&self, record: &TargetRecord) -> bool {
+        self.registry.borrow().is_ready(record) && !self.leaving.borrow().contains(record)
+    }
+
+    /// Waits until the run that a record describes no longer accepts new requests.
+    pub async fn wait_until_departed(&self, record: &TargetRecord) {
+        loop {
+            let changed = self.changed.listen();
+            if !self.accepts_work(record) {
+                return;
+            }
+            changed.await;
+        }
+    }
+
     /// Records what a response says about the limit of its target: `named` is the
     /// limit that it names, if any, and `sent_at` the time at which the request was
     /// sent.
--- a/crates/gateway/src/staging/result_releaser.rs
+++ b/crates/gateway/src/staging/result_releaser.rs
@@ -125,7 +125,10 @@
                 }
                 shared.stage_collector.mark_freed(&service, &names);
             }
-            Err(PermitDenied { retry_after }) => {
+            Err(PermitDenied::Departed) => {
+                shared.stage_collector.mark_freed(&service, &names);
+            }
+            Err(PermitDenied::OverLimit { retry_after }) => {
                 slog::info!(shared.log, "stage: Results not freed, the limit of their target is used up; they will expire.";
                     "service" => %service, "address" => %address, "results" => names.len(),
                     "retry_after" => %retry_after);
--- a/crates/gateway/src/staging/stage_call_run.rs
+++ b/crates/gateway/src/staging/stage_call_run.rs
@@ -124,7 +124,10 @@
         };
         let permit = match shared.permits.acquire(shared, permit).await {
             Ok(permit) => permit,
-            Err(PermitDenied { retry_after }) => return Ok(CallEnd::OverLimit { retry_after }),
+            Err(PermitDenied::OverLimit { retry_after }) => {
+                return Ok(CallEnd::OverLimit { retry_after });
+            }
+            Err(PermitDenied::Departed) => return Ok(CallEnd::Refused { closed_for: None }),
         };
         let begun = shared.now();
         let mut exchange = TargetExchange::begin(shared, permit, call).await?;
--- a/crates/gateway/src/targets/call_purpose.rs
+++ b/crates/gateway/src/targets/call_purpose.rs
@@ -10,6 +10,16 @@
 }
 
 impl CallPurpose {
+    /// Whether the target does work for the call, which it must not be given once it
+    /// drains. Results are freed until it is gone.
+    #[must_use]
+    pub const fn is_work(self) -> bool {
+        match self {
+            Self::Request | Self::Stage => true,
+            Self::Free => false,
+        }
+    }
+
     /// Label for metrics and logs.
     #[must_use]
     pub const fn label(self) -> &'static str {
--- a/crates/gateway/src/targets/permit_client.rs
+++ b/crates/gateway/src/targets/permit_client.rs
@@ -47,12 +47,13 @@
 
 impl PermitClient {
     /// Obtains a permit for a call. Waits for one that is available within the
-    /// request's patience.
+    /// request's patience, unless the target departs meanwhile.
     ///
     /// # Errors
     ///
     /// Fails if the target has a limit and no permit is available in time. The
-    /// target then counts as closed until the next one is expected.
+    /// target then counts as closed until the next one is expected. Fails too if the
+    /// target takes no work at the end of the wait.
     pub async fn acquire(
         &self,
         shared: &Shared,
@@ -61,7 +62,7 @@
         let record = request.record;
         let limited = shared.limits.borrow().limit_of(record, shared.now());
         let Some((limit, age)) = limited else {
-            return Ok(SendPermit::new(Arc::clone(record)));
+            return Self::issue(shared, &request);
         };
         let (decision, source) = self.decide(shared, &request, limit).await;
         let (outcome, wait) = match decision {
@@ -80,18 +81,43 @@
         match decision {
             PermitDecision::Granted { wait } => {
                 if !wait.is_zero() {
-                    Timer::after(Duration::from(wait)).await;
+                    Self::wait_for_turn(shared, &request, wait).await;
                 }
-                Ok(SendPermit::new(Arc::clone(record)))
+                Self::issue(shared, &request)
             }
             PermitDecision::Denied { retry_after } => {
                 let until = shared.now() + retry_after;
                 shared.loads.borrow_mut().set_pace(record, until);
-                Err(PermitDenied { retry_after })
+                Err(PermitDenied::OverLimit { retry_after })
             }
         }
     }
 
+    /// Waits until a granted permit is due, or until the target departs.
+    async fn wait_for_turn(shared: &Shared, request: &PermitRequest<'_>, wait: TimeSpan) {
+        if request.purpose.is_work() {
+            // `None` if the target is still there when the permit is due.
+            let _ = within(wait, shared.wait_until_departed(request.record)).await;
+        } else {
+            Timer::after(Duration::from(wait)).await;
+        }
+    }
+
+    /// Issues a permit if the target still takes such calls. What was known when the
+    /// target was chosen may be seconds old.
+    fn issue(shared: &Shared, request: &PermitRequest<'_>) -> Result<SendPermit, PermitDenied> {
+        let record = request.record;
+        if request.purpose.is_work() && !shared.accepts_work(record) {
+            slog::info!(shared.log, "targets: No longer called, it departed.";
+                "target" => %record.id, "service" => %record.service,
+                "purpose" => request.purpose.label(), "request" => request.request.map(str::to_owned),
+                "chosen_revision" => %record.revision,
+                "revision" => %shared.registry.borrow().revision());
+            return Err(PermitDenied::Departed);
+        }
+        Ok(SendPermit::new(Arc::clone(record)))
+    }
+
     /// Decides on another node's query.
     pub fn answer(&self, shared: &Shared, query: PermitQuery) -> PermitReply {
         let registered = shared.registry.borrow().get(&query.notice.target).cloned();
--- a/crates/gateway/src/targets/target_exchange.rs
+++ b/crates/gateway/src/targets/target_exchange.rs
@@ -155,7 +155,7 @@
         let is_reused = idle.is_some();
         let mut stream = match idle {
             Some(stream) => stream,
-            None => connect(shared, record).await?,
+            None => connect(shared, record, call.purpose).await?,
         };
         let message = encode(&call);
         let exchange = async {
@@ -268,17 +268,26 @@
     }
 }
 
-async fn connect(shared: &Shared, record: &TargetRecord) -> Result<HttpStream, SendError> {
+async fn connect(
+    shared: &Shared,
+    record: &TargetRecord,
+    purpose: CallPurpose,
+) -> Result<HttpStream, SendError> {
     shared.metrics.target_connections.inc();
     let connected = within(CONNECT_TIMEOUT, HttpStream::connect(record.address)).await;
-    match connected {
-        Some(Ok(stream)) => Ok(stream),
+    let stream = match connected {
+        Some(Ok(stream)) => stream,
         Some(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
-            Err(SendError::ConnectionRefused(error.to_string()))
+            return Err(SendError::ConnectionRefused(error.to_string()));
         }
-        Some(Err(error)) => Err(SendError::NotSent(error.to_string())),
-        None => Err(SendError::NotSent("no connection in time".to_owned())),
+        Some(Err(error)) => return Err(SendError::NotSent(error.to_string())),
+        None => return Err(SendError::NotSent("no connection in time".to_owned())),
+    };
+    if purpose.is_work() && !shared.accepts_work(record) {
+        let reason = "departed while the connection was established".to_owned();
+        return Err(SendError::NotSent(reason));
     }
+    Ok(stream)
 }
 
 fn encode(call: &TargetCall<'_>) -> BytesMut {
