Heed a Retry-After that comes while requests wait for permits

Change: the check at the end of the wait also asks for the backoff that the target has requested. Such a request goes to another target or is rejected as not run at once.

--- a/crates/core/src/targets/target_loads.rs
+++ b/crates/core/src/targets/target_loads.rs
@@ -155,6 +155,15 @@
         remaining.max().unwrap_or_default()
     }
 
+    /// Time until the end of the backoff that a target has asked for.
+    #[must_use]
+    pub fn requested_backoff(&self, record: &TargetRecord, now: ClockTime) -> TimeSpan {
+        let load = self.loads.get(&record.id);
+        let backoff = load.and_then(|load| load.backoff);
+        let own = backoff.filter(|(run, _)| *run == record.started_at);
+        own.map_or(TimeSpan::ZERO, |(_, until)| now.until(until))
+    }
+
     /// Time until the first backoff of the candidates ends, if all of them are in
     /// backoff.
     #[must_use]
--- a/crates/gateway/src/targets/permit_client.rs
+++ b/crates/gateway/src/targets/permit_client.rs
@@ -115,6 +115,11 @@
                 "revision" => %shared.registry.borrow().revision());
             return Err(PermitDenied::Departed);
         }
+        let loads = shared.loads.borrow();
+        let retry_after = loads.requested_backoff(record, shared.now());
+        if request.purpose.is_work() && !retry_after.is_zero() {
+            return Err(PermitDenied::OverLimit { retry_after });
+        }
         Ok(SendPermit::new(Arc::clone(record)))
     }
 
--- a/crates/gateway/tests/drain_while_waiting.rs
+++ b/crates/gateway/tests/drain_while_waiting.rs
@@ -25,6 +25,9 @@
 /// Limit of the first target. The next permit is due after five seconds, or after a
 /// minute from a node that has just started.
 const LIMIT: &str = "0.2";
+/// A limit whose next permit is due after half a second, or after six from a node
+/// that has just started.
+const SHORT_LIMIT: &str = "2";
 /// Latency goal so long that requests wait for such permits.
 const GOAL_MS: u32 = 150_000;
 
@@ -238,3 +241,24 @@
         assert!(long.join().expect("an answer").is_complete);
     }
 }
+
+/// Guards against requests that are sent to a target during the time for which it has
+/// asked for none, since they had waited for their permits before.
+#[test]
+fn request_that_waits_for_a_permit_heeds_a_later_retry_after() {
+    let fixture = WaitingFixture::start("desk");
+    *fixture.limit.lock().expect("the lock is not poisoned") = Some(SHORT_LIMIT);
+    let named = fixture.send(booking("named")).join().expect("an answer");
+    assert_eq!(named.status, 200);
+    fixture.is_refusing.store(true, Ordering::SeqCst);
+    let callers = ["b0", "b1"].map(|id| fixture.send(booking(id)));
+    for caller in callers {
+        assert_eq!(caller.join().expect("an answer").status, 503);
+    }
+    let runs = ["b0", "b1"].map(|id| fixture.log.runs_of(id).len());
+    assert_eq!(
+        runs.iter().sum::<usize>(),
+        1,
+        "one request is refused there"
+    );
+}
