Bound the memory for events under way and for skipped responses

What callers would see: targets that send bytes without end fill the memory of the node, the platform ends the process, and all its requests end with it. Reported by operators of similar systems; a test shows that it can happen here.

Cause: each part of a response is bounded, but only whole bodies count towards the bound on all of them. Unfinished events (1 MiB a stream) and responses to other requests (8 MiB, kept while they are skipped) don't. verbenahubd keeps a head without line ends up to 64 MiB, since async_h1 looks at its length at line ends only.

Change: unfinished events count from 16 KiB on; skipped responses aren't kept; verbenahubd reads 32 KiB at most before a head is complete, and a line of a stream up to what is left of the answer limit.

Ruled out as ways: heads, trailers, chunk lines, plain bodies.

--- a/crates/gateway/src/front/event_splitter.rs
+++ b/crates/gateway/src/front/event_splitter.rs
@@ -66,6 +66,12 @@
         Some(event)
     }
 
+    /// Number of bytes that are buffered.
+    #[must_use]
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Whether part of an event is buffered.
     #[must_use]
     pub fn has_partial_event(&self) -> bool {
--- a/crates/gateway/src/front/stream_flow.rs
+++ b/crates/gateway/src/front/stream_flow.rs
@@ -19,12 +19,16 @@
     http::HttpStream,
     process::Shared,
     staging::{ResultGuard, StageFailure, StageFlow, StageOutput},
-    targets::{SendError, TargetExchange, within},
+    targets::{MemoryReservation, SendError, TargetExchange, within},
 };
 
 /// `Retry-After` of a request whose stages failed or were late.
 const STAGE_FAILURE_RETRY_AFTER: TimeSpan = TimeSpan::from_millis(300);
 
+/// Size up to which an unfinished event reserves no memory, so that large ones of
+/// faulty targets don't break the streams of others.
+const FREE_EVENT_BYTES: usize = 16 << 10;
+
 /// Result of starting a streaming request, before its first event.
 #[derive(Debug)]
 pub(super) enum StreamStart<'a> {
@@ -43,6 +47,8 @@
     exchange: TargetExchange,
     result_guard: Option<ResultGuard>,
     splitter: EventSplitter,
+    /// Memory for the buffered part of an event.
+    reservation: MemoryReservation,
     last_event: Option<String>,
     /// When the first event of the current target's answer arrived.
     begun_at: Option<ClockTime>,
@@ -106,6 +112,7 @@
         exchange,
         result_guard,
         splitter: EventSplitter::default(),
+        reservation: shared.response_memory.reserve(),
         last_event: None,
         begun_at: None,
         resumed_after: None,
@@ -263,6 +270,14 @@
                 }
                 chunk.extend_from_slice(&event);
             }
+            let buffered = self.splitter.buffered_bytes();
+            if !self
+                .reservation
+                .resize(buffered.saturating_sub(FREE_EVENT_BYTES))
+            {
+                let reason = "no memory for an unfinished event".to_owned();
+                return EventsEnd::Failed(SendError::Malformed(reason));
+            }
             if chunk.is_empty() {
                 continue;
             }
--- a/crates/gateway/src/http/body_reader.rs
+++ b/crates/gateway/src/http/body_reader.rs
@@ -126,6 +126,22 @@
         }
         Ok(whole.freeze())
     }
+
+    /// Reads the complete body without keeping it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the body is incomplete, malformed or larger than `limit` bytes.
+    pub async fn skip(mut self, stream: &mut HttpStream, limit: usize) -> Result<(), BodyError> {
+        let mut skipped = 0;
+        while let Some(bytes) = self.next(stream).await? {
+            skipped += bytes.len();
+            if skipped > limit {
+                return Err(BodyError::TooLarge(limit));
+            }
+        }
+        Ok(())
+    }
 }
 
 fn length(bytes: &Bytes) -> u64 {
--- a/crates/gateway/src/targets/memory_reservation.rs
+++ b/crates/gateway/src/targets/memory_reservation.rs
@@ -29,6 +29,17 @@
         self.size += bytes;
         true
     }
+
+    /// Changes the size of the reservation. Returns false, and changes nothing, if a
+    /// larger one would exceed the limit.
+    pub fn resize(&mut self, size: usize) -> bool {
+        if let Some(more) = size.checked_sub(self.size) {
+            return self.grow(more);
+        }
+        self.reserved.set(self.reserved.get() - (self.size - size));
+        self.size = size;
+        true
+    }
 }
 
 impl Drop for MemoryReservation {
--- a/crates/gateway/src/targets/target_exchange.rs
+++ b/crates/gateway/src/targets/target_exchange.rs
@@ -341,7 +341,7 @@
             });
         }
         let stray = BodyReader::new(framing);
-        let skipped = stray.collect(stream, MAX_RESPONSE_BODY_BYTES).await;
+        let skipped = stray.skip(stream, MAX_RESPONSE_BODY_BYTES).await;
         skipped.map_err(|error| body_send_error(&error))?;
     }
     Err(SendError::Malformed(
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -207,6 +207,16 @@
             .clone()
     }
 
+    /// Most memory that the process has used so far, in bytes.
+    pub fn peak_memory(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = fs::read_to_string(path).expect("the process runs");
+        let mut lines = status.lines();
+        let peak = lines.find_map(|line| line.strip_prefix("VmHWM:"));
+        let kib = peak.and_then(|text| text.trim().strip_suffix(" kB"));
+        kib.expect("a size").parse::<u64>().expect("a number") * 1_024
+    }
+
     pub fn signal(&self, signal: Signal) {
         let pid = i32::try_from(self.child.id()).expect("a valid process id");
         let pid = Pid::from_raw(pid).expect("a valid process id");
--- a/crates/node/src/connection/call_response.rs
+++ b/crates/node/src/connection/call_response.rs
@@ -67,6 +67,11 @@
         self.stream.read_bytes()
     }
 
+    /// Allows `bytes` more bytes of the body to be read from now on.
+    pub fn set_read_budget(&self, bytes: u64) {
+        self.stream.set_read_budget(bytes);
+    }
+
     /// Reads the complete body and returns the connection to the pool.
     ///
     /// # Errors
--- a/crates/node/src/connection/client_pool.rs
+++ b/crates/node/src/connection/client_pool.rs
@@ -18,8 +18,11 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Longest time to wait for a connection to be established.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Maximum size of a response, head and body together, in bytes.
-const MAX_RESPONSE_BYTES: u64 = 64 << 20;
+/// Maximum size of a response's body, in bytes.
+const MAX_BODY_BYTES: u64 = 64 << 20;
+/// Maximum number of bytes read until a response's head is complete. `async_h1`
+/// accepts 8 KiB, but checks that only at the ends of lines, and reads ahead.
+const MAX_HEAD_BYTES: u64 = 32 << 10;
 
 /// A pool of client connections to targets, nodes and the platform, which are
 /// kept open between calls.
@@ -102,7 +105,7 @@
         timeout: TimeSpan,
     ) -> Result<CallResponse<'_>, CallError> {
         let ClientConnection { address, stream } = connection;
-        stream.set_read_budget(MAX_RESPONSE_BYTES);
+        stream.set_read_budget(MAX_HEAD_BYTES);
         let timed_out = async {
             Timer::after(timeout.into()).await;
             Err(CallError::Timeout)
@@ -115,6 +118,7 @@
                 .map_err(|error| CallError::ConnectionLost(error.to_string()))
         };
         let response = exchange.or(timed_out).await?;
+        stream.set_read_budget(MAX_BODY_BYTES);
         Ok(CallResponse::new(self, address, stream, response))
     }
 
--- a/crates/node/src/request/stage_attempt.rs
+++ b/crates/node/src/request/stage_attempt.rs
@@ -180,6 +180,7 @@
         let mut lines = body.lines();
         let mut budget = StreamBudget::new(self.request.pipeline.answer_limit);
         loop {
+            response.set_read_budget(budget.line_bytes());
             let line = match self.next_line(&mut lines).await {
                 Ok(line) => line,
                 Err(end) => return end,
--- /dev/null
+++ b/crates/node/tests/client_pool.rs
@@ -0,0 +1,92 @@
+//! Tests of calls to targets whose responses never end.
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener},
+    thread::{self, JoinHandle},
+};
+
+use futures_lite::AsyncBufReadExt;
+use http_types::{Method, Request, Url};
+use verbenahub_core::clock::TimeSpan;
+use verbenahub_node::connection::{ClientPool, ConnectionChoice};
+
+/// Timeout of calls, so that a test fails instead of hanging.
+const CALL_TIMEOUT: TimeSpan = TimeSpan::from_secs(20);
+/// Bytes that a target can send at most before it notices that nobody reads: the
+/// socket buffers of both sides.
+const MAX_SENT_BYTES: usize = 16 << 20;
+/// Bytes of a line that the caller allows.
+const LINE_BYTES: u64 = 256 << 10;
+
+/// A target that responds to one request with a prefix and then the same part without
+/// end. Joined for the number of bytes that it could send.
+struct EndlessTarget {
+    address: SocketAddr,
+    thread: JoinHandle<usize>,
+}
+
+impl EndlessTarget {
+    fn start(prefix: &'static [u8], part: Vec<u8>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let thread = thread::spawn(move || {
+            let (mut stream, _) = listener.accept().expect("a connection");
+            let read = stream.read(&mut [0; 4_096]).expect("a request");
+            assert!(read > 0, "a request");
+            let mut sent = 0;
+            if stream.write_all(prefix).is_ok() {
+                // Ends with an error when the caller closes the connection.
+                while stream.write_all(&part).is_ok() {
+                    sent += part.len();
+                }
+            }
+            sent
+        });
+        Self { address, thread }
+    }
+
+    fn request(&self) -> Request {
+        let url = Url::parse(&format!("http://{}/", self.address)).expect("a URL");
+        Request::new(Method::Get, url)
+    }
+
+    fn join(self) -> usize {
+        self.thread.join().expect("the target does not panic")
+    }
+}
+
+/// Guards against a head without line ends, which was kept up to 64 MiB a call.
+#[test]
+fn head_without_an_end_is_not_kept() {
+    for part in [vec![b'x'; 4_096], b"x: y\r\n".repeat(500)] {
+        let target = EndlessTarget::start(b"HTTP/1.1 200 OK\r\nx: ", part);
+        let (pool, request) = (ClientPool::default(), target.request());
+        let choice = ConnectionChoice::Fresh;
+        let call = pool.call(target.address, request, choice, CALL_TIMEOUT);
+        let is_error = smol::block_on(call).is_err();
+        drop(pool);
+        assert!(is_error);
+        assert!(target.join() < MAX_SENT_BYTES);
+    }
+}
+
+/// Guards against a line of a stream without an end, which was kept up to 64 MiB a call.
+#[test]
+fn line_without_an_end_is_not_kept() {
+    let head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let part = [b"1000\r\n".as_slice(), &[b'x'; 4_096], b"\r\n"].concat();
+    let target = EndlessTarget::start(head, part);
+    let (pool, request) = (ClientPool::default(), target.request());
+    let choice = ConnectionChoice::Fresh;
+    let is_error = smol::block_on(async {
+        let call = pool.call(target.address, request, choice, CALL_TIMEOUT);
+        let mut response = call.await.expect("a head");
+        let mut body = response.response_mut().take_body();
+        response.set_read_budget(LINE_BYTES);
+        body.read_until(b'\n', &mut Vec::new()).await.is_err()
+    });
+    assert!(is_error);
+    drop(pool);
+    assert!(target.join() < MAX_SENT_BYTES);
+}
