Reject late requests that can't end within the grace period

What callers would see in a planned stop, in calm: a request behind a stream on a busy connection is read seconds after SIGTERM, sent on and cut at the end of the grace period without an answer, also one that may not be repeated (LOST). Reported by operators of similar systems; a test shows that it can happen here.

Cause: connections that are busy when idle ones are closed go on taking requests, and nothing compares the time that a request may need with what is left. At the end the connections' tasks are cancelled, so requests without an answer get none.

Change: after idle connections are closed, a request whose deadline lies beyond the end of the work gets 503, not run, at once (DrainController::request_cutoff). At the end each request without an answer gets one: 503 if no target has it, else 502.

Why it works: what is accepted late has its own deadline before the cut, and what was accepted early is answered before the connections are closed.

Evidence: failed before, pass now: late_request_that_may_outlast_the_grace_period_is_rejected_without_a_run and requests_without_an_answer_at_the_end_of_the_grace_period_get_one (both connections closed without an answer). late_request_that_ends_within_the_grace_period_is_served passed before and does now. Ruled out as ways: new connections (the listener closes at 2.3 s), idle ones (2.7 s).

--- a/crates/core/src/drain/drain_controller.rs
+++ b/crates/core/src/drain/drain_controller.rs
@@ -45,6 +45,16 @@
         self.phase > DrainPhase::Serving
     }
 
+    /// Time by which a request that arrives now must end, at the latest, to be
+    /// accepted. `None` while all requests are accepted: until idle connections are
+    /// closed the load balancer may still send some, and most end long before their
+    /// deadlines. Later ones come on connections that were busy; they are few and would
+    /// be cut at the end of the grace period.
+    #[must_use]
+    pub fn request_cutoff(&self) -> Option<ClockTime> {
+        (self.phase >= DrainPhase::Finishing).then_some(self.work_deadline)
+    }
+
     /// Handles an event and returns the next step, if one is due.
     ///
     /// After the first signal a tick must be passed in at least every few tens
--- a/crates/core/tests/drain.rs
+++ b/crates/core/tests/drain.rs
@@ -52,6 +52,20 @@
     }
 }
 
+#[test]
+fn requests_must_end_before_the_work_deadline_once_idle_connections_are_closed() {
+    let mut controller = DrainController::new(LIMITS);
+    assert_eq!(controller.request_cutoff(), None);
+    let _ = controller.handle(DrainEvent::Signal, at(1_000));
+    let _ = tick(&mut controller, busy(), 1_500);
+    assert_eq!(controller.phase(), DrainPhase::Closing);
+    assert_eq!(controller.request_cutoff(), None);
+    let _ = tick(&mut controller, busy(), 1_700);
+    assert_eq!(controller.request_cutoff(), Some(at(11_000)));
+    let _ = controller.handle(DrainEvent::Signal, at(2_000));
+    assert_eq!(controller.request_cutoff(), Some(at(2_000)));
+}
+
 #[test]
 fn shutdown_waits_for_each_step() {
     let mut controller = DrainController::new(LIMITS);
--- a/crates/gateway/src/front/active_request.rs
+++ b/crates/gateway/src/front/active_request.rs
@@ -1,4 +1,4 @@
-use std::{rc::Rc, sync::Arc};
+use std::{cell::Cell, rc::Rc, sync::Arc};
 
 use bytes::Bytes;
 use verbenahub_core::{
@@ -9,6 +9,7 @@
 };
 use verbenahub_platform::headers;
 
+use super::RequestProgress;
 use crate::http::RequestHead;
 
 /// Part of the caller's wait for the first event that is reserved for sending
@@ -23,6 +24,8 @@
 pub struct ActiveRequest {
     /// Identifier that the caller gave this attempt.
     pub id: String,
+    /// How far the request has come.
+    pub progress: Cell<RequestProgress>,
     /// Request line and headers as they were received.
     pub head: RequestHead,
     /// Complete body.
--- a/crates/gateway/src/front/caller_connection.rs
+++ b/crates/gateway/src/front/caller_connection.rs
@@ -6,9 +6,9 @@
 };
 
 use super::{
-    ActiveRequest, GatewayResponse, RequestEnd, TargetResponse,
+    ActiveRequest, GatewayResponse, RequestEnd, RequestProgress, TargetResponse,
     plain_flow::run_plain,
-    request_resolver::resolve_request,
+    request_resolver::{reject_unsent, resolve_request},
     stream_flow::{StreamStart, start_stream},
 };
 use crate::{
@@ -153,19 +153,43 @@
                 return self.write_gateway_response(&response, closes).await;
             }
         };
-        let work = self.handle(&request, closes);
+        // Boxed, since the future is large and most connections are idle.
+        let work = Box::pin(self.handle(&request, closes));
         let caller_gone = async {
             self.stream.wait_closed().await;
             RequestEnd::interrupted("caller_gone", None, "connection closed".to_owned())
         };
-        let end = work.or(caller_gone).await;
+        let work = async { Some(work.or(caller_gone).await) };
+        let work_end = async {
+            shared.wait_work_end().await;
+            None
+        };
+        let end = match work.or(work_end).await {
+            Some(end) => end,
+            None => self.finish_at_stop(&request).await,
+        };
         record_end(&shared, &request, &end);
         end.keep_alive
     }
 
+    /// Answers a request that is still in progress when the process has to exit.
+    async fn finish_at_stop(&self, request: &ActiveRequest) -> RequestEnd {
+        let response = match request.progress.get() {
+            RequestProgress::Waiting => reject_unsent(GatewayResponse::stopping),
+            RequestProgress::Sent => GatewayResponse::outcome_unknown(),
+            RequestProgress::Answering => {
+                let reason = "the process stops".to_owned();
+                return RequestEnd::interrupted("cut_off", None, reason);
+            }
+        };
+        self.finish_with_gateway_response(&response, true).await
+    }
+
     async fn handle(&self, request: &ActiveRequest, closes: bool) -> RequestEnd {
         if request.route.kind == RouteKind::Streaming {
-            return match start_stream(&self.shared, request).await {
+            let start = start_stream(&self.shared, request).await;
+            request.progress.set(RequestProgress::Answering);
+            return match start {
                 StreamStart::Events(flow) => {
                     let closes = closes || self.shared.stopping.get();
                     flow.run(&self.stream, closes).await
@@ -178,7 +202,9 @@
                 }
             };
         }
-        match run_plain(&self.shared, request).await {
+        let response = run_plain(&self.shared, request).await;
+        request.progress.set(RequestProgress::Answering);
+        match response {
             Ok(response) => self.finish_with_target_response(&response, closes).await,
             Err(response) => self.finish_with_gateway_response(&response, closes).await,
         }
--- a/crates/gateway/src/front/gateway_response.rs
+++ b/crates/gateway/src/front/gateway_response.rs
@@ -59,6 +59,13 @@
         }
     }
 
+    /// The request was not run because this node is about to exit. The other nodes
+    /// accept it at once.
+    #[must_use]
+    pub fn stopping(proof: NotRunProof) -> Self {
+        Self::not_run(proof, "stopping", TimeSpan::ZERO)
+    }
+
     /// The request may have run; the target's response was lost.
     #[must_use]
     pub const fn outcome_unknown() -> Self {
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -9,6 +9,7 @@
 mod gateway_response;
 mod plain_flow;
 mod request_end;
+mod request_progress;
 mod request_resolver;
 mod stream_flow;
 mod target_response;
@@ -21,5 +22,6 @@
     event_splitter::{EventSplitter, EventStreamError},
     gateway_response::GatewayResponse,
     request_end::RequestEnd,
+    request_progress::RequestProgress,
     target_response::TargetResponse,
 };
--- a/crates/gateway/src/front/request_resolver.rs
+++ b/crates/gateway/src/front/request_resolver.rs
@@ -1,8 +1,10 @@
+use std::cell::Cell;
+
 use bytes::Bytes;
 use verbenahub_core::{
     clock::{ClockTime, TimeSpan},
     policy::quarantine::PartKey,
-    routes::{AuthResult, SendHistory},
+    routes::{AuthResult, NotRunProof, SendHistory},
 };
 use verbenahub_platform::{decode_prompt_parts, headers};
 
@@ -28,9 +30,8 @@
     body: Bytes,
     received_at: ClockTime,
 ) -> Result<ActiveRequest, GatewayResponse> {
-    let refuse_not_run = |code| match SendHistory::default().prove_not_run() {
-        Some(proof) => GatewayResponse::not_run(proof, code, NOT_CURRENT_RETRY_AFTER),
-        None => GatewayResponse::outcome_unknown(),
+    let refuse_not_run = |code| {
+        reject_unsent(|proof| GatewayResponse::not_run(proof, code, NOT_CURRENT_RETRY_AFTER))
     };
     let config = shared
         .config()
@@ -61,9 +62,15 @@
     let elapsed = shared.record_deadline(&route, deadline);
     let service = route.pick_service(shared.random_fraction()).cloned();
     let service = service.ok_or_else(|| refuse_not_run("no_service"))?;
+    let deadline = received_at + deadline.min(route.timeout);
+    let cutoff = shared.request_cutoff.get();
+    if cutoff.is_some_and(|cutoff| deadline > cutoff) {
+        return Err(reject_unsent(GatewayResponse::stopping));
+    }
     Ok(ActiveRequest {
         id,
-        deadline: received_at + deadline.min(route.timeout),
+        progress: Cell::default(),
+        deadline,
         first_sent_at: received_at - elapsed,
         received_at,
         route,
@@ -76,6 +83,15 @@
     })
 }
 
+/// The response to a request that no target has, and that won't be sent any more.
+pub(super) fn reject_unsent<Respond>(respond: Respond) -> GatewayResponse
+where
+    Respond: FnOnce(NotRunProof) -> GatewayResponse,
+{
+    let proof = SendHistory::default().prove_not_run();
+    proof.map_or_else(GatewayResponse::outcome_unknown, respond)
+}
+
 /// Keys of the parts of the prompt without the last one.
 fn shared_parts(head: &RequestHead) -> Vec<PartKey> {
     let text = head.headers.text(headers::PROMPT_PARTS);
--- a/crates/gateway/src/front/target_sender.rs
+++ b/crates/gateway/src/front/target_sender.rs
@@ -11,7 +11,7 @@
 use verbenahub_platform::{decode_prompt_parts, headers};
 
 use super::{
-    ActiveRequest, GatewayResponse,
+    ActiveRequest, GatewayResponse, RequestProgress,
     answer_phase::AnswerPhase,
     forward_headers::{ForwardExtras, forward_headers},
     gateway_response::MAX_RETRY_AFTER,
@@ -177,6 +177,7 @@
                     }
                     self.read_refusal(exchange).await;
                     self.history.record_not_run();
+                    self.update_progress();
                     if !self.may_retry() {
                         return Err(self.failure_response("target_refused"));
                     }
@@ -191,6 +192,7 @@
                         PromptStep::Failed
                     });
                     self.history.record_not_sent();
+                    self.update_progress();
                     if !self.may_retry() {
                         return Err(self.failure_response("target_unreachable"));
                     }
@@ -367,6 +369,7 @@
             head_timeout: self.head_timeout(left),
         };
         self.history.record_send(record.id.clone());
+        request.progress.set(RequestProgress::Sent);
         if self.history.send_count() == 1 {
             self.shared.retry_budget.earn();
         }
@@ -394,6 +397,13 @@
         result
     }
 
+    /// Tells the request that no target has it, if that is certain.
+    fn update_progress(&self) {
+        if self.history.prove_not_run().is_some() {
+            self.request.progress.set(RequestProgress::Waiting);
+        }
+    }
+
     /// Records an answer that broke off with its connection. Unless the answer had
     /// settled, the request may have crashed the target.
     pub(super) fn record_broken_answer(
--- a/crates/gateway/src/process/drain_driver.rs
+++ b/crates/gateway/src/process/drain_driver.rs
@@ -37,6 +37,8 @@
         let mut event = DrainEvent::Signal;
         loop {
             let action = self.controller.handle(event, self.shared.now());
+            let cutoff = self.controller.request_cutoff();
+            self.shared.request_cutoff.set(cutoff);
             let is_handover = action == Some(DrainAction::SealAndHandOver);
             if let Some(action) = action {
                 slog::info!(self.shared.log, "drain: Next step.";
@@ -73,7 +75,13 @@
             DrainAction::CloseIdle => {
                 self.caller_shutdown.close();
             }
-            DrainAction::SealAndHandOver => {}
+            DrainAction::SealAndHandOver => {
+                // Requests that are left now have no time left. If none is, one that
+                // still arrives is served.
+                if !self.work().is_empty() {
+                    self.shared.end_work();
+                }
+            }
             DrainAction::Stop { unfinished } => {
                 if !unfinished.is_empty() {
                     slog::warn!(self.shared.log, "drain: Work was cut off.";
--- a/crates/gateway/src/process/gateway_state.rs
+++ b/crates/gateway/src/process/gateway_state.rs
@@ -109,6 +109,13 @@
     /// Whether the node is shutting down. Each response then closes its
     /// connection.
     pub stopping: Cell<bool>,
+    /// Time by which requests that arrive now must end to be accepted, during the
+    /// last part of a shutdown.
+    pub request_cutoff: Cell<Option<ClockTime>>,
+    /// Whether the time for requests in progress is over.
+    is_work_ended: Cell<bool>,
+    /// Notified when it is over.
+    work_ended: Event,
     /// Closed when idle connections of callers are to be closed.
     pub caller_shutdown: Receiver<()>,
     /// When callers of services whose targets have all named limits come back.
@@ -165,6 +172,9 @@
             stage_client: StageClient::default(),
             work: WorkCounter::default(),
             stopping: Cell::new(false),
+            request_cutoff: Cell::new(None),
+            is_work_ended: Cell::new(false),
+            work_ended: Event::new(),
             return_schedules: RefCell::default(),
             first_attempts: RefCell::default(),
             rng: RefCell::new(Rng::new()),
@@ -254,6 +264,23 @@
         }
     }
 
+    /// Ends the requests in progress, since the process exits in a moment.
+    pub fn end_work(&self) {
+        self.is_work_ended.set(true);
+        self.work_ended.notify(usize::MAX);
+    }
+
+    /// Waits until the time for requests in progress is over.
+    pub async fn wait_work_end(&self) {
+        loop {
+            let ended = self.work_ended.listen();
+            if self.is_work_ended.get() {
+                return;
+            }
+            ended.await;
+        }
+    }
+
     /// Targets of a service that accept new requests.
     #[must_use]
     pub fn ready_targets(&self, service: &PoolName) -> Vec<Arc<TargetRecord>> {
--- /dev/null
+++ b/crates/gateway/tests/planned_stop.rs
@@ -0,0 +1,129 @@
+//! What callers get whose requests come, or are still unanswered, late in a planned stop.
+
+mod support;
+
+use std::{io::Write, time::Duration};
+
+use rustix::process::Signal;
+use serde_json::json;
+use support::{
+    CallerRequest, GatewayProcess, RawResponse, any_port, config, route, start_targets, wait_for,
+};
+use verbenahub_platform_standin::{
+    EngineTarget, PlainTarget, RawCall, RawReply, RunLog, StoreServer,
+};
+
+/// Longer than the grace period of the gateways, which is 8 s.
+const TIMEOUT_MS: u32 = 15_000;
+/// Pause between the events of a stream that ends after idle connections are closed and
+/// before the end of the grace period.
+const EVENT_INTERVAL: Duration = Duration::from_millis(350);
+const EVENTS: u32 = 11;
+
+struct StopFixture {
+    gateway: GatewayProcess,
+    log: RunLog,
+    _targets: Vec<PlainTarget>,
+    _store: StoreServer,
+}
+
+impl StopFixture {
+    /// Starts a gateway with an engine, and a target of bookings and one of a stage that
+    /// reply as `script` says.
+    fn start<F>(script: F) -> Self
+    where
+        F: Fn(&RawCall) -> RawReply + Clone + Send + Sync + 'static,
+    {
+        let store = StoreServer::start(any_port()).expect("the store starts");
+        let mut staged = route("staged", "/staged/", "streaming", "pool", 1);
+        staged["Stages"] = json!([{ "Service": "stage-a", "After": [], "Bytes": 1000 }]);
+        let mut routes = [
+            route("book", "/book/", "non_idempotent", "desk", 1),
+            route("tell", "/tell/", "streaming", "pool", 1),
+            staged,
+        ];
+        for route in &mut routes {
+            route["TimeoutMs"] = json!(TIMEOUT_MS);
+            route["GoalMs"] = json!(TIMEOUT_MS);
+        }
+        store.put("op/config", &config(3, &routes));
+        let log = RunLog::default();
+        let mut targets = start_targets(&store, &log, "pool", "e", 1, |call: &RawCall| {
+            EngineTarget::stream(call, EVENTS, EVENT_INTERVAL).last_chunk()
+        });
+        targets.extend(start_targets(&store, &log, "desk", "t", 1, script.clone()));
+        targets.extend(start_targets(&store, &log, "stage-a", "s", 1, script));
+        let gateway = GatewayProcess::start_ready("n1", store.address());
+        gateway.wait_log_line(|line| line["targets"] == 3);
+        Self {
+            gateway,
+            log,
+            _targets: targets,
+            _store: store,
+        }
+    }
+
+    /// Sends a stream's request and a booking behind it on the same connection, and stops
+    /// the gateway. Returns the answers and whether the process ended well.
+    fn book_late(&mut self, deadline_ms: u32) -> (RawResponse, RawResponse, bool) {
+        let mut stream = CallerRequest::new("POST", "/tell/a", "stream");
+        stream.deadline_ms = TIMEOUT_MS;
+        let mut connection = stream.send(self.gateway.caller_address);
+        let mut booking = CallerRequest::new("POST", "/book/a", "late");
+        booking.deadline_ms = deadline_ms;
+        connection
+            .write_all(&booking.encode())
+            .expect("the booking is sent");
+        wait_for("the stream", || self.log.runs_of("stream").len() == 1);
+        self.gateway.signal(Signal::TERM);
+        let streamed = RawResponse::read(&mut connection);
+        let booked = RawResponse::read(&mut connection);
+        (streamed, booked, self.gateway.wait_exit())
+    }
+}
+
+/// Guards against requests that are taken late in the grace period, passed on, and cut at
+/// its end.
+#[test]
+fn late_request_that_may_outlast_the_grace_period_is_rejected_without_a_run() {
+    let mut fixture = StopFixture::start(|_| RawReply::silence());
+    let (streamed, booked, is_success) = fixture.book_late(TIMEOUT_MS);
+    assert!(streamed.is_complete);
+    assert_eq!(booked.status, 503);
+    assert_eq!(booked.header("Connection"), Some("close"));
+    assert!(fixture.log.runs_of("late").is_empty());
+    assert!(is_success);
+}
+
+/// Guards against rejecting late requests that can be answered in time.
+#[test]
+fn late_request_that_ends_within_the_grace_period_is_served() {
+    let mut fixture =
+        StopFixture::start(|call: &RawCall| PlainTarget::signed(call, "200 OK", b"booked"));
+    let (streamed, booked, is_success) = fixture.book_late(1_000);
+    assert!(streamed.is_complete);
+    assert_eq!(booked.status, 200);
+    assert!(is_success);
+}
+
+/// Guards against requests that are cut without an answer at the end of the grace period:
+/// those that were sent get an error, the others are rejected as not run.
+#[test]
+fn requests_without_an_answer_at_the_end_of_the_grace_period_get_one() {
+    let mut fixture = StopFixture::start(|_| RawReply::silence());
+    let front = fixture.gateway.caller_address;
+    let mut booking = CallerRequest::new("POST", "/book/a", "sent");
+    booking.deadline_ms = TIMEOUT_MS;
+    let mut sent = booking.send(front);
+    let mut prompt = CallerRequest::new("POST", "/staged/a", "waiting")
+        .with_header("Pieces", "1")
+        .with_header("Piece-Key", "ab");
+    prompt.deadline_ms = TIMEOUT_MS;
+    let mut waiting = prompt.send(front);
+    wait_for("both requests", || fixture.log.runs().len() == 2);
+    fixture.gateway.signal(Signal::TERM);
+    assert_eq!(RawResponse::read(&mut sent).status, 502);
+    assert_eq!(RawResponse::read(&mut waiting).status, 503);
+    assert!(fixture.log.runs_of("waiting").is_empty());
+    assert!(fixture.gateway.wait_exit());
+}
