Take no response without a length for an empty one

What callers of verbenahubd would see: a target answers with neither content-length nor chunks, and the caller gets a complete success with an empty body.

Cause: async_h1 takes a body without a declared end for empty, and nothing checked that targets declare one, as PROTOCOLS.md asks.

Change: such a response counts as a broken connection. 204 and 304 are exempt.

Evidence: response_without_a_length_is_no_success_with_an_empty_body failed before (an empty success), passes now.

--- a/crates/node/src/connection/client_pool.rs
+++ b/crates/node/src/connection/client_pool.rs
@@ -6,7 +6,7 @@
 };
 
 use futures_lite::{FutureExt, future};
-use http_types::Request;
+use http_types::{Request, Response, StatusCode};
 use smol::{Timer, net::TcpStream};
 use verbenahub_core::clock::TimeSpan;
 
@@ -118,6 +118,10 @@
                 .map_err(|error| CallError::ConnectionLost(error.to_string()))
         };
         let response = exchange.or(timed_out).await?;
+        if !has_known_end(&response) {
+            let reason = "a response without a length".to_owned();
+            return Err(CallError::ConnectionLost(reason));
+        }
         stream.set_read_budget(MAX_BODY_BYTES);
         Ok(CallResponse::new(self, address, stream, response))
     }
@@ -157,6 +161,18 @@
     }
 }
 
+/// Whether a response says where its body ends. `async_h1` takes the body of one that
+/// doesn't for empty.
+fn has_known_end(response: &Response) -> bool {
+    let has_no_body = matches!(
+        response.status(),
+        StatusCode::NoContent | StatusCode::NotModified
+    );
+    let codings = response.header("transfer-encoding");
+    let is_chunked = codings.is_some_and(|codings| codings.last().as_str() == "chunked");
+    has_no_body || is_chunked || response.header("content-length").is_some()
+}
+
 /// Whether an idle connection can be reused: it is open, and no unexpected data
 /// has arrived on it.
 fn is_reusable(stream: &MeteredStream) -> bool {
--- a/crates/node/tests/client_pool.rs
+++ b/crates/node/tests/client_pool.rs
@@ -1,4 +1,4 @@
-//! Tests of calls to targets whose responses never end.
+//! Tests of calls to targets whose responses never end or break off.
 
 use std::{
     io::{Read, Write},
@@ -8,7 +8,7 @@
 
 use futures_lite::AsyncBufReadExt;
 use http_types::{Method, Request, Url};
-use verbenahub_core::clock::TimeSpan;
+use verbenahub_core::{clock::TimeSpan, units::ByteSize};
 use verbenahub_node::connection::{ClientPool, ConnectionChoice};
 
 /// Timeout of calls, so that a test fails instead of hanging.
@@ -90,3 +90,66 @@
     drop(pool);
     assert!(target.join() < MAX_SENT_BYTES);
 }
+
+/// Calls a target that sends `bytes` as its response and closes the connection. Returns
+/// the body if the call succeeds.
+fn call_closing_target(bytes: &[u8]) -> Option<Vec<u8>> {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let sent = bytes.to_vec();
+    let thread = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let read = stream.read(&mut [0; 4_096]).expect("a request");
+        assert!(read > 0, "a request");
+        stream.write_all(&sent).expect("the response is sent");
+    });
+    let url = Url::parse(&format!("http://{address}/")).expect("a URL");
+    let pool = ClientPool::default();
+    let body = smol::block_on(async {
+        let request = Request::new(Method::Get, url);
+        let choice = ConnectionChoice::Fresh;
+        let call = pool.call(address, request, choice, CALL_TIMEOUT);
+        let response = call.await.ok()?;
+        let body = response
+            .into_body(ByteSize::from_kib(64), CALL_TIMEOUT)
+            .await;
+        body.ok().map(|bytes| bytes.to_vec())
+    });
+    thread.join().expect("the target does not panic");
+    body
+}
+
+/// Guards against a success with an empty or short body after a response that stopped
+/// in its head or body.
+#[test]
+fn response_that_is_cut_at_any_byte_is_no_success() {
+    let head = "HTTP/1.1 200 OK\r\nx-own: y\r\n";
+    let responses = [
+        format!("{head}Content-Length: 5\r\n\r\nwhole"),
+        format!("{head}Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"),
+    ];
+    for response in responses {
+        // The body has ended with the last chunk. Only the end of its trailers, of which
+        // there are none, would follow.
+        let end = response
+            .strip_suffix("0\r\n\r\n")
+            .map_or(response.len(), |start| start.len() + "0\r\n".len());
+        for length in 0..end {
+            let body = call_closing_target(&response.as_bytes()[..length]);
+            assert_eq!(body, None, "{length} bytes of {response:?}");
+        }
+        let body = call_closing_target(response.as_bytes());
+        assert_eq!(body.as_deref(), Some(b"whole".as_slice()));
+    }
+}
+
+/// Guards against a response without a length whose body is taken for empty.
+#[test]
+fn response_without_a_length_is_no_success_with_an_empty_body() {
+    for declared in ["", "Transfer-Encoding: gzip\r\n"] {
+        let response = format!("HTTP/1.1 200 OK\r\n{declared}\r\nwhole");
+        assert_eq!(call_closing_target(response.as_bytes()), None, "{declared}");
+    }
+    let empty = call_closing_target(b"HTTP/1.1 204 No Content\r\nx-own: y\r\n\r\n");
+    assert_eq!(empty.as_deref(), Some(b"".as_slice()));
+}
