Write no error into a stream that is resumed as the process exits

What callers would see: a stream whose engine has broken off is being resumed at the end of the grace period, and an error response appears in the middle of it (MIXED).

Change: once an answer has begun, that stays so (ActiveRequest::set_progress).

Evidence: stream_that_is_resumed_at_the_end_of_the_grace_period_is_cut failed before (two response heads on the connection), passes now.

--- a/crates/gateway/src/engines/engine_client.rs
+++ b/crates/gateway/src/engines/engine_client.rs
@@ -42,9 +42,9 @@
 impl EngineClient {
     /// Asks the node that chooses engines for all nodes to choose one for a
     /// prompt. If another request is already having the engine read shared parts
-    /// of the prompt, waits until it has read them or the engine departs. Returns `None` if no node
-    /// chooses, it doesn't respond, or it names an engine that is not a candidate
-    /// or must be avoided.
+    /// of the prompt, waits until it has read them or the engine departs. Returns
+    /// `None` if no node chooses, it doesn't respond, or it names an engine that is
+    /// not a candidate or must be avoided.
     pub async fn choose(
         &self,
         shared: &Shared,
--- a/crates/gateway/src/front/active_request.rs
+++ b/crates/gateway/src/front/active_request.rs
@@ -24,8 +24,7 @@
 pub struct ActiveRequest {
     /// Identifier that the caller gave this attempt.
     pub id: String,
-    /// How far the request has come.
-    pub progress: Cell<RequestProgress>,
+    pub(super) progress: Cell<RequestProgress>,
     /// Request line and headers as they were received.
     pub head: RequestHead,
     /// Complete body.
@@ -51,6 +50,20 @@
 }
 
 impl ActiveRequest {
+    /// How far the request has come.
+    #[must_use]
+    pub const fn progress(&self) -> RequestProgress {
+        self.progress.get()
+    }
+
+    /// Records how far the request has come. Once its answer has begun, that stays so:
+    /// a stream that is resumed is sent once more.
+    pub fn set_progress(&self, progress: RequestProgress) {
+        if self.progress.get() != RequestProgress::Answering {
+            self.progress.set(progress);
+        }
+    }
+
     /// Time left until the deadline.
     #[must_use]
     pub const fn time_left(&self, now: ClockTime) -> TimeSpan {
--- a/crates/gateway/src/front/caller_connection.rs
+++ b/crates/gateway/src/front/caller_connection.rs
@@ -174,7 +174,7 @@
 
     /// Answers a request that is still in progress when the process has to exit.
     async fn finish_at_stop(&self, request: &ActiveRequest) -> RequestEnd {
-        let response = match request.progress.get() {
+        let response = match request.progress() {
             RequestProgress::Waiting => reject_unsent(GatewayResponse::stopping),
             RequestProgress::Sent => GatewayResponse::outcome_unknown(),
             RequestProgress::Answering => {
@@ -188,7 +188,7 @@
     async fn handle(&self, request: &ActiveRequest, closes: bool) -> RequestEnd {
         if request.route.kind == RouteKind::Streaming {
             let start = start_stream(&self.shared, request).await;
-            request.progress.set(RequestProgress::Answering);
+            request.set_progress(RequestProgress::Answering);
             return match start {
                 StreamStart::Events(flow) => {
                     let closes = closes || self.shared.stopping.get();
@@ -203,7 +203,7 @@
             };
         }
         let response = run_plain(&self.shared, request).await;
-        request.progress.set(RequestProgress::Answering);
+        request.set_progress(RequestProgress::Answering);
         match response {
             Ok(response) => self.finish_with_target_response(&response, closes).await,
             Err(response) => self.finish_with_gateway_response(&response, closes).await,
--- a/crates/gateway/src/front/target_sender.rs
+++ b/crates/gateway/src/front/target_sender.rs
@@ -369,7 +369,7 @@
             head_timeout: self.head_timeout(left),
         };
         self.history.record_send(record.id.clone());
-        request.progress.set(RequestProgress::Sent);
+        request.set_progress(RequestProgress::Sent);
         if self.history.send_count() == 1 {
             self.shared.retry_budget.earn();
         }
@@ -397,10 +397,10 @@
         result
     }
 
-    /// Tells the request that no target has it, if that is certain.
+    /// Records that the request waits again if it is certain that no target has it.
     fn update_progress(&self) {
         if self.history.prove_not_run().is_some() {
-            self.request.progress.set(RequestProgress::Waiting);
+            self.request.set_progress(RequestProgress::Waiting);
         }
     }
 
--- a/crates/gateway/tests/planned_stop.rs
+++ b/crates/gateway/tests/planned_stop.rs
@@ -2,7 +2,10 @@
 
 mod support;
 
-use std::{io::Write, time::Duration};
+use std::{
+    io::{Read, Write},
+    time::Duration,
+};
 
 use rustix::process::Signal;
 use serde_json::json;
@@ -10,7 +13,7 @@
     CallerRequest, GatewayProcess, RawResponse, any_port, config, route, start_targets, wait_for,
 };
 use verbenahub_platform_standin::{
-    EngineTarget, PlainTarget, RawCall, RawReply, RunLog, StoreServer,
+    EngineTarget, PlainTarget, RawCall, RawReply, ReplyStep, RunLog, StoreServer,
 };
 
 /// Longer than the grace period of the gateways, which is 8 s.
@@ -127,3 +130,35 @@
     assert!(fixture.log.runs_of("waiting").is_empty());
     assert!(fixture.gateway.wait_exit());
 }
+
+/// Guards against an error response in the middle of a stream that is being resumed as
+/// the grace period ends.
+#[test]
+fn stream_that_is_resumed_at_the_end_of_the_grace_period_is_cut() {
+    let store = StoreServer::start(any_port()).expect("the store starts");
+    let mut resumable = route("resumable", "/resume/", "streaming", "pool", 2);
+    resumable["Resumable"] = json!(true);
+    resumable["TimeoutMs"] = json!(TIMEOUT_MS);
+    store.put("op/config", &config(3, &[resumable]));
+    let log = RunLog::default();
+    let script_log = log.clone();
+    let _engines = start_targets(&store, &log, "pool", "e", 2, move |call: &RawCall| {
+        if script_log.runs().len() > 1 {
+            return RawReply::silence();
+        }
+        EngineTarget::stream(call, 1, Duration::ZERO).then(ReplyStep::Close)
+    });
+    let mut gateway = GatewayProcess::start_ready("n1", store.address());
+    gateway.wait_log_line(|line| line["targets"] == 2);
+    let mut request = CallerRequest::new("POST", "/resume/a", "s1");
+    request.deadline_ms = TIMEOUT_MS;
+    let mut connection = request.send(gateway.caller_address);
+    wait_for("the second engine", || log.runs_of("s1").len() == 2);
+    gateway.signal(Signal::TERM);
+    let mut answer = Vec::new();
+    // A reset of the connection is an end too.
+    let _ = connection.read_to_end(&mut answer);
+    let answer = String::from_utf8_lossy(&answer);
+    assert_eq!(answer.matches("HTTP/1.1").count(), 1, "{answer}");
+    assert!(gateway.wait_exit());
+}
