Send nothing to targets of evacuated zones

EvacuatedZones keeps the latest state of each zone by the store's revision. Readers of the store fill it, and follow and gossip replies pass it on. ready_targets leaves evacuated targets out, and accepts_call is asked before each permit and after each connection, so a request that waited, a kept choice or another node's assignment can't reach the zone; results there are no longer freed and expire. Requests that need a service whose targets are all evacuated are rejected before their stages.

Ruled out: keeping the state in the registry, since a listing of a restored store must not end an evacuation.

--- a/crates/core/src/targets/mod.rs
+++ b/crates/core/src/targets/mod.rs
@@ -1,6 +1,7 @@
 //! Targets that register themselves: which of them may get work, including while
 //! the registry is unavailable.
 
+mod evacuated_zones;
 mod leaving_notice;
 mod leaving_targets;
 mod limit_notice;
@@ -20,8 +21,10 @@
 mod target_record;
 mod target_registry;
 mod target_state;
+mod zone_notice;
 
 pub use self::{
+    evacuated_zones::EvacuatedZones,
     leaving_notice::LeavingNotice,
     leaving_targets::LeavingTargets,
     limit_notice::LimitNotice,
@@ -39,6 +42,7 @@
     target_record::TargetRecord,
     target_registry::TargetRegistry,
     target_state::TargetState,
+    zone_notice::ZoneNotice,
 };
 
 pub(crate) use self::target_loads::HEALTH_RULE;
--- a/crates/gateway/src/front/target_sender.rs
+++ b/crates/gateway/src/front/target_sender.rs
@@ -264,12 +264,20 @@
     }
 
     /// Rejects a request whose targets are all closed for longer than it can wait
-    /// for them, before its stages do work that would be lost.
+    /// for them, or that needs a service whose targets are all evacuated, before its
+    /// stages do work that would be lost.
     ///
     /// # Errors
     ///
     /// Returns the gateway's own response if the request can't be served.
     pub(super) fn check_open(&self) -> Result<(), GatewayResponse> {
+        let stages = self.request.route.stages.iter();
+        let mut services = stages.map(|stage| &stage.service);
+        if self.shared.is_service_evacuated(&self.request.service)
+            || services.any(|service| self.shared.is_service_evacuated(service))
+        {
+            return Err(self.failure_response("evacuated"));
+        }
         let candidates = self.shared.ready_targets(&self.request.service);
         let left = self.shared.now().until(self.request.first_event_deadline());
         let longest = TimeSpan::from_millis(left.as_millis() / 2);
--- a/crates/gateway/src/peers/gossip_message.rs
+++ b/crates/gateway/src/peers/gossip_message.rs
@@ -5,7 +5,7 @@
     ids::StoreRevision,
     policy::quarantine::QuarantineNotice,
     routes::{ConfigRank, RouteConfig},
-    targets::{LeavingNotice, LimitNotice, RegistryChange, TargetRecord},
+    targets::{LeavingNotice, LimitNotice, RegistryChange, TargetRecord, ZoneNotice},
 };
 
 use crate::process::GatewayState;
@@ -40,6 +40,9 @@
     /// Parts of prompts that crash engines.
     #[serde(default)]
     pub quarantine: Vec<QuarantineNotice>,
+    /// Zones that are or were evacuated.
+    #[serde(default)]
+    pub zones: Vec<ZoneNotice>,
 }
 
 /// Long poll for a newer configuration or newer targets. The answer is an
@@ -78,6 +81,9 @@
     /// Parts of prompts that crash engines.
     #[serde(default)]
     pub quarantine: Vec<QuarantineNotice>,
+    /// Zones that are or were evacuated.
+    #[serde(default)]
+    pub zones: Vec<ZoneNotice>,
 }
 
 /// Answer to a [`GossipMessage`].
@@ -126,6 +132,7 @@
             leaving: state.leaving.borrow().notices(now),
             limits: state.limits.borrow().notices(now),
             quarantine: state.quarantine.notices(now),
+            zones: state.zones.borrow().notices(),
         }
     }
 }
@@ -150,6 +157,7 @@
             leaving: state.leaving.borrow().notices(now),
             limits: state.limits.borrow().notices(now),
             quarantine: state.quarantine.notices(now),
+            zones: state.zones.borrow().notices(),
         }
     }
 
@@ -158,6 +166,7 @@
     pub fn apply(self, state: &GatewayState, source: &str, now: ClockTime) -> bool {
         state.merge_leaving(self.leaving, source);
         state.merge_limits(self.limits, source);
+        state.merge_evacuations(self.zones, source);
         state.quarantine.merge(state, self.quarantine, source);
         if let Some(config) = self.config {
             state.update_config(config, "peer");
--- a/crates/gateway/src/peers/peer_listener.rs
+++ b/crates/gateway/src/peers/peer_listener.rs
@@ -100,6 +100,7 @@
                 self.shared.fleet.borrow_mut().merge(message.members, now);
                 self.shared.merge_leaving(message.leaving, "gossip");
                 self.shared.merge_limits(message.limits, "gossip");
+                self.shared.merge_evacuations(message.zones, "gossip");
                 let quarantine = &self.shared.quarantine;
                 quarantine.merge(&self.shared, message.quarantine, "gossip");
                 self.encode(&reply)
--- a/crates/gateway/src/process/gateway_metrics.rs
+++ b/crates/gateway/src/process/gateway_metrics.rs
@@ -35,6 +35,8 @@
     pub limited_sends: IntCounterVec,
     /// Decisions on permits for limited targets, by service and outcome.
     pub permits: IntCounterVec,
+    /// Zones that the operator has evacuated.
+    pub evacuated_zones: IntGauge,
     /// Targets that have named a limit.
     pub limited_targets: IntGauge,
     /// Parts of prompts that are quarantined at this node.
@@ -119,6 +121,11 @@
                 "Decisions on permits for limited targets",
                 &["service", "outcome"],
             )?,
+            evacuated_zones: gauge(
+                group,
+                "evacuated_zones",
+                "Zones that the operator has evacuated",
+            )?,
             limited_targets: gauge(group, "limited_targets", "Targets that have named a limit")?,
             quarantined_parts: gauge(
                 group,
--- a/crates/gateway/src/process/gateway_state.rs
+++ b/crates/gateway/src/process/gateway_state.rs
@@ -17,8 +17,8 @@
     routes::{FirstAttemptEstimator, RouteConfig, RouteSpec},
     settings::GatewayProfile,
     targets::{
-        LeavingNotice, LeavingTargets, LimitNotice, RequestLimit, ReturnSchedule,
-        StoreConnectivity, TargetLimits, TargetLoads, TargetRecord, TargetRegistry,
+        EvacuatedZones, LeavingNotice, LeavingTargets, LimitNotice, RequestLimit, ReturnSchedule,
+        StoreConnectivity, TargetLimits, TargetLoads, TargetRecord, TargetRegistry, ZoneNotice,
     },
     units::RateLimit,
 };
@@ -29,7 +29,7 @@
     peers::PeerClient,
     quarantine::{CrashOwner, CrashReporter, PromptQuarantine},
     staging::{ResultReleaser, StageClient, StageCollector},
-    targets::{ConnectionPool, PermitClient, ResponseMemory},
+    targets::{CallPurpose, ConnectionPool, PermitClient, ResponseMemory},
 };
 
 /// Minimum number of shares into which the retry reserve is divided. It keeps
@@ -59,6 +59,8 @@
     pub registry: RefCell<TargetRegistry>,
     /// Targets that have announced in a response that they are leaving.
     pub leaving: RefCell<LeavingTargets>,
+    /// Zones that the operator has evacuated.
+    pub zones: RefCell<EvacuatedZones>,
     /// Limits on requests that targets have named in responses.
     pub limits: RefCell<TargetLimits>,
     /// Obtains and grants permits for calls to limited targets.
@@ -153,6 +155,7 @@
             config: RefCell::default(),
             registry: RefCell::default(),
             leaving: RefCell::default(),
+            zones: RefCell::default(),
             limits: RefCell::default(),
             permits: PermitClient::default(),
             quarantine: PromptQuarantine::new(&profile.node),
@@ -286,16 +289,48 @@
     pub fn ready_targets(&self, service: &PoolName) -> Vec<Arc<TargetRecord>> {
         let registry = self.registry.borrow();
         let leaving = self.leaving.borrow();
+        let zones = self.zones.borrow();
         let ready = registry.ready(service);
-        let staying = ready.filter(|record| !leaving.contains(record));
-        staying.map(Arc::clone).collect()
+        let usable =
+            ready.filter(|record| !leaving.contains(record) && !zones.contains(&record.zone));
+        usable.map(Arc::clone).collect()
     }
 
     /// Whether the run that a record describes accepts new requests, by what is known
     /// now.
     #[must_use]
     pub fn accepts_work(&self, record: &TargetRecord) -> bool {
-        self.registry.borrow().is_ready(record) && !self.leaving.borrow().contains(record)
+        self.registry.borrow().is_ready(record)
+            && !self.leaving.borrow().contains(record)
+            && !self.is_evacuated(record)
+    }
+
+    /// Whether the run that a record describes may get a call, by what is known now.
+    #[must_use]
+    pub fn accepts_call(&self, record: &TargetRecord, purpose: CallPurpose) -> bool {
+        if purpose.is_work() {
+            self.accepts_work(record)
+        } else {
+            !self.is_evacuated(record)
+        }
+    }
+
+    /// Whether the operator has evacuated the zone of a target.
+    #[must_use]
+    pub fn is_evacuated(&self, record: &TargetRecord) -> bool {
+        self.zones.borrow().contains(&record.zone)
+    }
+
+    /// Whether a service has ready targets, all of them in evacuated zones.
+    #[must_use]
+    pub fn is_service_evacuated(&self, service: &PoolName) -> bool {
+        let zones = self.zones.borrow();
+        if zones.is_empty() {
+            return false;
+        }
+        let registry = self.registry.borrow();
+        let mut ready = registry.ready(service).peekable();
+        ready.peek().is_some() && ready.all(|record| zones.contains(&record.zone))
     }
 
     /// Waits until the run that a record describes no longer accepts new requests.
@@ -402,6 +437,36 @@
         }
     }
 
+    /// Merges notices from the store or from other nodes about evacuated zones.
+    /// `source` names the message that brought them, for the log.
+    pub fn merge_evacuations(&self, notices: Vec<ZoneNotice>, source: &str) {
+        if notices.is_empty() {
+            return;
+        }
+        let changes = self.zones.borrow_mut().merge(notices);
+        self.publish_evacuations(&changes, source);
+    }
+
+    /// Applies a listing of the evacuated zones as of `revision`.
+    pub fn replace_evacuations(&self, listed: Vec<ZoneNotice>, revision: StoreRevision) {
+        let changes = self.zones.borrow_mut().replace(listed, revision);
+        self.publish_evacuations(&changes, "listing");
+    }
+
+    fn publish_evacuations(&self, changes: &[ZoneNotice], source: &str) {
+        if changes.is_empty() {
+            return;
+        }
+        for change in changes {
+            slog::info!(self.log, "zones: Evacuation changed.";
+                "zone" => %change.zone, "evacuated" => change.is_evacuated,
+                "revision" => %change.revision, "source" => source.to_owned());
+        }
+        let count = i64::try_from(self.zones.borrow().len()).unwrap_or(i64::MAX);
+        self.metrics.evacuated_zones.set(count);
+        self.publish_changes();
+    }
+
     /// Merges notices of other nodes about targets that are leaving. `source` is
     /// the address of the peer, for the log.
     pub fn merge_leaving(&self, notices: Vec<LeavingNotice>, source: &str) {
--- a/crates/gateway/src/store/store_reader.rs
+++ b/crates/gateway/src/store/store_reader.rs
@@ -7,7 +7,8 @@
     targets::{RegistryChange, TargetRecord},
 };
 use verbenahub_platform::{
-    StoreEvent, StoreItem, decode_config, decode_target, paths, removed_target,
+    StoreEvent, StoreItem, decode_config, decode_target, evacuation_change, listed_evacuation,
+    paths, removed_target,
 };
 
 use super::{StoreClient, StoreError};
@@ -129,6 +130,8 @@
         for item in &items {
             self.apply_config(item);
         }
+        let evacuations = items.iter().filter_map(listed_evacuation).collect();
+        self.shared.replace_evacuations(evacuations, revision);
         let listed = items.iter().filter(|item| paths::is_target_key(&item.key));
         let records = listed.filter_map(|item| self.decode(item)).collect();
         let is_settled = self.is_settled();
@@ -158,6 +161,8 @@
         for item in written {
             self.apply_config(item);
         }
+        let evacuations = events.iter().filter_map(evacuation_change).collect();
+        self.shared.merge_evacuations(evacuations, "store");
         let changes = events.iter().filter_map(|event| match event {
             StoreEvent::Written(item) if paths::is_target_key(&item.key) => {
                 self.decode(item).map(RegistryChange::Put)
--- a/crates/gateway/src/targets/permit_client.rs
+++ b/crates/gateway/src/targets/permit_client.rs
@@ -104,15 +104,17 @@
     }
 
     /// Issues a permit if the target still takes such calls. What was known when the
-    /// target was chosen may be seconds old.
+    /// target was chosen may be seconds old. A target in an evacuated zone takes none
+    /// of any kind; the results that it holds expire.
     fn issue(shared: &Shared, request: &PermitRequest<'_>) -> Result<SendPermit, PermitDenied> {
         let record = request.record;
-        if request.purpose.is_work() && !shared.accepts_work(record) {
+        if !shared.accepts_call(record, request.purpose) {
             slog::info!(shared.log, "targets: No longer called, it departed.";
                 "target" => %record.id, "service" => %record.service,
                 "purpose" => request.purpose.label(), "request" => request.request.map(str::to_owned),
                 "chosen_revision" => %record.revision,
-                "revision" => %shared.registry.borrow().revision());
+                "revision" => %shared.registry.borrow().revision(),
+                "evacuated" => shared.is_evacuated(record));
             return Err(PermitDenied::Departed);
         }
         let loads = shared.loads.borrow();
--- a/crates/gateway/src/targets/permit_denied.rs
+++ b/crates/gateway/src/targets/permit_denied.rs
@@ -9,6 +9,6 @@
         /// Time after which a permit may be available.
         retry_after: TimeSpan,
     },
-    /// The target is draining or gone.
+    /// The target is draining or gone, or its zone is evacuated.
     Departed,
 }
--- a/crates/gateway/src/targets/target_exchange.rs
+++ b/crates/gateway/src/targets/target_exchange.rs
@@ -283,7 +283,7 @@
         Some(Err(error)) => return Err(SendError::NotSent(error.to_string())),
         None => return Err(SendError::NotSent("no connection in time".to_owned())),
     };
-    if purpose.is_work() && !shared.accepts_work(record) {
+    if !shared.accepts_call(record, purpose) {
         let reason = "departed while the connection was established".to_owned();
         return Err(SendError::NotSent(reason));
     }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -472,13 +472,19 @@
     address: SocketAddr,
     state: &str,
 ) {
-    let record = json!({
-        "Service": service, "Address": address.to_string(), "Zone": "z1", "Version": "v1",
-        "Slots": 8, "State": state, "ColdLeftMs": 0, "Sequence": 1, "born": 1
-    });
+    let mut record = target_record(service, address);
+    record["State"] = json!(state);
     store.put(&format!("servers/{id}"), &record);
 }
 
+/// Returns the record of a ready target in the zone `z1`.
+pub fn target_record(service: &str, address: SocketAddr) -> Value {
+    json!({
+        "Service": service, "Address": address.to_string(), "Zone": "z1", "Version": "v1",
+        "Slots": 8, "State": "ready", "ColdLeftMs": 0, "Sequence": 1, "born": 1
+    })
+}
+
 /// Starts targets of a service, whose replies the script computes, and registers
 /// them. Their ids are the prefix and an index.
 pub fn start_targets<Script>(
