--- a/crates/gateway/tests/evacuation.rs
+++ b/crates/gateway/tests/evacuation.rs
@@ -41,7 +41,7 @@
         routes.push(staged);
         store.put("op/config", &config(3, &routes));
         let log = RunLog::default();
-        let (mut stages, mut targets) = (Vec::new(), Vec::new());
+        let (mut stage_targets, mut targets) = (Vec::new(), Vec::new());
         for zone in ["z1", "z2"] {
             let register = |id: &str, service: &str, address| {
                 let mut record = target_record(service, address);
@@ -59,7 +59,7 @@
             let stage = StageTarget::start(any_port(), &id, Duration::from_millis(20));
             let stage = stage.expect("the target starts");
             register(&id, "stage-a", stage.server().address());
-            stages.push(stage);
+            stage_targets.push(stage);
         }
         let gateways = GatewayProcess::start_fleet(3, store.address());
         for gateway in &gateways {
@@ -69,7 +69,7 @@
             gateways,
             store,
             log,
-            stages,
+            stages: stage_targets,
             _targets: targets,
         }
     }
