Choose late sets by recent shares of missed goals

Cause: mark_late_sets gave up the goal of the costliest set, by pieces x (4 + priority).

Change: RecentGoals records recent goals met and missed by key, decaying with a half-life of 3 s, for at most 64 keys. The set whose route and workspace have missed the smaller share gives up first, in steps of 6 points; the cost decides within a step. A lower priority may miss 3 points more for each priority and stage. StageRequest and StageSet carry the route and the workspace; sets without a route come from nodes of the previous version. The lines "stage: Set refused." and "stage: Set failed." have the route.

--- a/crates/core/src/staging/mod.rs
+++ b/crates/core/src/staging/mod.rs
@@ -5,6 +5,7 @@
 //! batches the sets of all nodes for some targets is their collector.
 
 mod call_end;
+mod goal_shares;
 mod graph_progress;
 mod held_results;
 mod late_throughput;
@@ -16,6 +17,7 @@
 mod queue_shedding;
 mod queue_target;
 mod queued_set;
+mod recent_goals;
 mod recent_times;
 mod result_names;
 mod running_call;
@@ -33,6 +35,7 @@
     path_estimate::PathEstimate,
     piece_end::PieceEnd,
     queue_backlog::QueueBacklog,
+    recent_goals::{GoalKey, RecentGoals},
     result_names::ResultNames,
     set_end::{SetEnd, SetFailure},
     shard_map::ShardMap,
--- a/crates/core/src/staging/queue_ends.rs
+++ b/crates/core/src/staging/queue_ends.rs
@@ -79,6 +79,11 @@
                     return None;
                 }
                 let set = self.sets.remove(&piece.set)?;
+                match set.open_goal {
+                    Some(keys) if now <= set.set.goal_at => self.goals.meet(keys),
+                    Some(keys) => self.goals.miss(keys),
+                    None => {}
+                }
                 Some(SetEnd {
                     set: piece.set,
                     outcome: Ok(set.results.into_iter().flatten().collect()),
@@ -145,6 +150,9 @@
     }
 
     pub(super) fn fail(&mut self, number: SetNumber, failure: SetFailure) -> SetEnd {
+        if failure != SetFailure::Moved {
+            self.miss_goal(number);
+        }
         SetEnd {
             set: number,
             outcome: Err(failure),
--- a/crates/core/src/staging/queue_shedding.rs
+++ b/crates/core/src/staging/queue_shedding.rs
@@ -5,9 +5,13 @@
 //! be slightly late, and the late ones would then delay new requests beyond
 //! their goals as well.
 
+use std::cmp::Reverse;
+
 use super::{
     SetFailure, SetNumber, StageQueue, StageSet,
+    goal_shares::{GoalKeys, GoalShares},
     queue_order::{LOWEST_DISTINCT_PRIORITY, adjusted_due},
+    queued_set::QueuedSet,
     stage_queue::count,
 };
 use crate::{
@@ -28,6 +32,36 @@
 /// last seconds.
 const MAX_RETRY_AFTER: TimeSpan = TimeSpan::from_secs(3);
 
+/// A waiting set that keeps its goal so far.
+struct KeptSet {
+    number: SetNumber,
+    refusable: bool,
+    pieces: usize,
+    cost: usize,
+    arrived_at: ClockTime,
+    goal: Option<GoalKeys>,
+}
+
+impl KeptSet {
+    fn new(number: SetNumber, set: &QueuedSet) -> Self {
+        let priority = usize::from(set.set.priority.min(LOWEST_DISTINCT_PRIORITY));
+        Self {
+            number,
+            refusable: set.set.refusable,
+            pieces: set.waiting.len(),
+            cost: set.waiting.len() * (BASE_PIECE_COST + priority),
+            arrived_at: set.arrived_at,
+            goal: set.open_goal,
+        }
+    }
+
+    /// Sets with a higher rank give up their goals first.
+    fn rank(&self, goals: &GoalShares) -> (bool, Reverse<usize>, usize, ClockTime) {
+        let level = self.goal.map_or(0, |keys| goals.level(keys));
+        (self.refusable, Reverse(level), self.cost, self.arrived_at)
+    }
+}
+
 impl StageQueue {
     /// Earliest time at which a set can finish: after a call of its own that
     /// starts now.
@@ -41,10 +75,29 @@
         set.goal_at < self.earliest_end(set, now)
     }
 
+    /// Makes a set late and records that it has missed its goal.
+    fn make_late(&mut self, number: SetNumber) {
+        if let Some(set) = self.sets.get_mut(&number) {
+            set.is_late = true;
+        }
+        self.miss_goal(number);
+    }
+
+    /// Records that a set has missed its goal, unless that is recorded.
+    pub(super) fn miss_goal(&mut self, number: SetNumber) {
+        let set = self.sets.get_mut(&number);
+        if let Some(keys) = set.and_then(|set| set.open_goal.take()) {
+            self.goals.miss(keys);
+        }
+    }
+
     /// Marks sets as late: those that can no longer meet their goals, and as few
     /// others as it takes for the rest to be on time. Served only in the order of
-    /// their goals, all sets of an overload would be slightly late.
+    /// their goals, all sets of an overload would be slightly late. The sets of
+    /// routes and workspaces that have recently missed fewer goals are given up
+    /// first, and among these the largest.
     pub(super) fn mark_late_sets(&mut self, now: ClockTime) {
+        self.goals.decay(now);
         let missed: Vec<SetNumber> = self
             .sets
             .iter()
@@ -52,9 +105,7 @@
             .map(|(number, _)| *number)
             .collect();
         for number in missed {
-            if let Some(set) = self.sets.get_mut(&number) {
-                set.is_late = true;
-            }
+            self.make_late(number);
         }
         let mut due: Vec<(ClockTime, SetNumber)> = Vec::new();
         for (number, set) in &self.sets {
@@ -63,31 +114,26 @@
             }
         }
         due.sort_unstable();
-        let mut kept: Vec<SetNumber> = Vec::new();
+        let mut kept: Vec<KeptSet> = Vec::new();
         let mut pieces = 0;
         for (_, number) in due {
-            kept.push(number);
-            pieces += self.sets[&number].waiting.len();
-            if now + self.drain_time(pieces, now) <= self.sets[&number].set.goal_at {
+            let set = &self.sets[&number];
+            let goal_at = set.set.goal_at;
+            pieces += set.waiting.len();
+            kept.push(KeptSet::new(number, set));
+            if now + self.drain_time(pieces, now) <= goal_at {
                 continue;
             }
-            let costliest = kept.iter().enumerate().max_by_key(|(_, number)| {
-                let set = &self.sets[number];
-                let priority = usize::from(set.set.priority.min(LOWEST_DISTINCT_PRIORITY));
-                (
-                    set.set.refusable,
-                    set.waiting.len() * (BASE_PIECE_COST + priority),
-                    set.arrived_at,
-                )
-            });
-            let Some((position, _)) = costliest else {
+            let first_to_give_up = kept
+                .iter()
+                .enumerate()
+                .max_by_key(|(_, set)| set.rank(&self.goals));
+            let Some((position, _)) = first_to_give_up else {
                 continue;
             };
             let given_up = kept.remove(position);
-            if let Some(set) = self.sets.get_mut(&given_up) {
-                pieces -= set.waiting.len();
-                set.is_late = true;
-            }
+            pieces -= given_up.pieces;
+            self.make_late(given_up.number);
         }
     }
 
--- a/crates/core/src/staging/queued_set.rs
+++ b/crates/core/src/staging/queued_set.rs
@@ -1,4 +1,4 @@
-use super::StageSet;
+use super::{StageSet, goal_shares::GoalKeys};
 use crate::clock::ClockTime;
 
 /// A set in the queue, waiting or partly processed.
@@ -14,4 +14,6 @@
     /// Whether its goal was given up: it cannot be met, or other sets go first.
     /// Never reset once true.
     pub(super) is_late: bool,
+    /// Its goal in the shares of goals while it is neither met nor missed.
+    pub(super) open_goal: Option<GoalKeys>,
 }
--- a/crates/core/src/staging/stage_queue.rs
+++ b/crates/core/src/staging/stage_queue.rs
@@ -2,9 +2,9 @@
 
 use super::{
     CallNumber, QueueBacklog, SetEnd, SetFailure, SetNumber, StageCall, StageRefusal, StageSet,
-    TargetPace, held_results::HeldResults, late_throughput::LateThroughput,
-    queue_target::QueueTarget, queued_set::QueuedSet, recent_times::RecentTimes,
-    running_call::RunningCall,
+    TargetPace, goal_shares::GoalShares, held_results::HeldResults,
+    late_throughput::LateThroughput, queue_target::QueueTarget, queued_set::QueuedSet,
+    recent_times::RecentTimes, running_call::RunningCall,
 };
 use crate::{
     clock::{ClockTime, TimeSpan},
@@ -61,6 +61,7 @@
     pub(super) next_call_at: ClockTime,
     pub(super) late_throughput: LateThroughput,
     pub(super) recent: RecentTimes,
+    pub(super) goals: GoalShares,
 }
 
 impl StageQueue {
@@ -80,6 +81,7 @@
             next_call_at: ClockTime::ZERO,
             late_throughput: LateThroughput::default(),
             recent: RecentTimes::default(),
+            goals: GoalShares::default(),
         }
     }
 
@@ -147,13 +149,18 @@
     pub fn offer(&mut self, set: StageSet, now: ClockTime) -> Result<SetNumber, StageRefusal> {
         let ahead = self.pieces_ahead(&set, now);
         let done_at = now + self.drain_time(ahead + count(set.pieces), now);
+        let is_late = self.cannot_meet_goal(&set, now);
+        // A goal that is missed on arrival is not one that this queue missed.
+        let open_goal = (!is_late).then(|| self.goals.open(&set));
         if set.refusable && done_at > set.deadline {
+            if let Some(keys) = open_goal {
+                self.goals.miss(keys);
+            }
             let retry_after = now.until(done_at);
             return Err(StageRefusal { retry_after });
         }
         let number = SetNumber(self.next_set);
         self.next_set += 1;
-        let is_late = self.cannot_meet_goal(&set, now);
         self.sets.insert(
             number,
             QueuedSet {
@@ -164,6 +171,7 @@
                 set,
                 retries: 0,
                 is_late,
+                open_goal,
             },
         );
         Ok(number)
@@ -172,6 +180,9 @@
     /// Removes a set. Returns the names of the results already produced for it.
     pub fn cancel(&mut self, number: SetNumber) -> Vec<String> {
         let set = self.sets.remove(&number);
+        if let Some(keys) = set.as_ref().and_then(|set| set.open_goal) {
+            self.goals.forget(keys);
+        }
         set.map(|set| set.results.into_iter().flatten().collect())
             .unwrap_or_default()
     }
--- a/crates/core/src/staging/stage_set.rs
+++ b/crates/core/src/staging/stage_set.rs
@@ -30,4 +30,8 @@
     pub refusable: bool,
     /// Whether another collector may take the set over before it has started.
     pub movable: bool,
+    /// Route of the request.
+    pub route: String,
+    /// Workspace of the caller; empty if unknown.
+    pub workspace: String,
 }
--- a/crates/core/tests/stage_fixture/mod.rs
+++ b/crates/core/tests/stage_fixture/mod.rs
@@ -47,6 +47,8 @@
         deadline: now + TimeSpan::from_millis(dead_ms),
         refusable: true,
         movable: true,
+        route: String::new(),
+        workspace: String::new(),
     }
 }
 
--- a/crates/core/tests/stage_model/mod.rs
+++ b/crates/core/tests/stage_model/mod.rs
@@ -9,5 +9,5 @@
 pub use self::{
     request_kind::{KindStage, LoadBurst, RequestKind},
     simulated_service::SimulatedService,
-    stage_simulation::StageSimulation,
+    stage_simulation::{SimulationResult, StageSimulation},
 };
--- a/crates/core/tests/stage_model/request_kind.rs
+++ b/crates/core/tests/stage_model/request_kind.rs
@@ -22,6 +22,8 @@
 /// A kind of staged request.
 #[derive(Clone, Debug)]
 pub struct RequestKind {
+    pub route: &'static str,
+    pub workspace: &'static str,
     /// Requests per second.
     pub per_second: f64,
     /// Time in which the answer should start, in milliseconds.
--- a/crates/core/tests/stage_model/simulated_service.rs
+++ b/crates/core/tests/stage_model/simulated_service.rs
@@ -9,6 +9,8 @@
 #[derive(Debug)]
 pub struct SimulatedService {
     pub spec: StageService,
+    /// Ratio of the time that calls take to the published one.
+    pub slowdown: f64,
     pub targets: usize,
     pub collectors: Vec<StageQueue>,
     /// When each collector processes its queue next.
@@ -32,6 +34,7 @@
         });
         Self {
             spec,
+            slowdown: 1.0,
             targets,
             collectors: collectors.collect(),
             wakeups: vec![ClockTime::ZERO; shards],
--- a/crates/core/tests/stage_model/stage_simulation.rs
+++ b/crates/core/tests/stage_model/stage_simulation.rs
@@ -52,6 +52,8 @@
     pub cross_zone_bytes: f64,
     /// Value of the requests that arrived in each second: earned, and possible.
     pub seconds: Vec<(f64, f64)>,
+    /// For each kind, the requests that arrived in each second: on time, and all.
+    pub goals: Vec<Vec<(usize, usize)>>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -112,6 +114,7 @@
         self.outcome.kinds = vec![KindResult::default(); self.kinds.len()];
         let seconds = usize::try_from(self.length_ms / 1_000).expect("a length") + 1;
         self.outcome.seconds = vec![(0.0, 0.0); seconds];
+        self.outcome.goals = vec![vec![(0, 0); seconds]; self.kinds.len()];
         let last = self.length_ms + 15_000;
         for millis in 0..last {
             self.now = ClockTime::from_millis(millis);
@@ -169,6 +172,7 @@
         self.outcome.kinds[kind].requests += 1;
         let second = usize::try_from(self.now.as_millis() / 1_000).expect("a second");
         self.outcome.seconds[second].1 += spec.value.0;
+        self.outcome.goals[kind][second].1 += 1;
         let stages: Vec<GraphStage> = spec
             .stages
             .iter()
@@ -281,6 +285,7 @@
                 let result = &mut self.outcome.kinds[kind];
                 let earned = if self.now <= goal_at {
                     result.on_time += 1;
+                    self.outcome.goals[kind][second].0 += 1;
                     value.0
                 } else if self.now <= deadline {
                     result.late += 1;
@@ -343,6 +348,8 @@
             ),
             refusable: request.is_refusable,
             movable: false,
+            route: self.kinds[request.kind].route.to_owned(),
+            workspace: self.kinds[request.kind].workspace.to_owned(),
         };
         let offered = self.services[service].collectors[shard].offer(set, self.now);
         let Ok(set) = offered else {
@@ -452,7 +459,7 @@
                 }
             }
         }
-        u64::from(round(millis)) + CALL_NETWORK_MS
+        u64::from(round(millis * self.services[service].slowdown)) + CALL_NETWORK_MS
     }
 }
 
--- a/crates/gateway/src/front/stream_flow.rs
+++ b/crates/gateway/src/front/stream_flow.rs
@@ -383,6 +383,7 @@
         shared,
         config: &request.config,
         route: &request.route,
+        workspace: request.workspace.as_ref(),
         request: &request.id,
         key: fields.text(headers::PIECE_KEY).unwrap_or_default(),
         pieces: &pieces,
--- a/crates/gateway/src/staging/stage_collector.rs
+++ b/crates/gateway/src/staging/stage_collector.rs
@@ -102,6 +102,8 @@
             deadline: now + request.dead_left,
             refusable: request.refusable,
             movable: request.movable,
+            route: request.route.clone(),
+            workspace: request.workspace.clone(),
         };
         let offered = queue.queue.borrow_mut().offer(set, now);
         let backlog = queue.backlog(now);
@@ -110,7 +112,8 @@
             Ok(number) => number,
             Err(refusal) => {
                 slog::info!(shared.log, "stage: Set refused.";
-                    "request" => &request.request, "service" => %request.service, "stage" => request.stage,
+                    "request" => &request.request, "route" => &request.route,
+                    "service" => %request.service, "stage" => request.stage,
                     "pieces" => request.pieces, "waiting_pieces" => waiting, "backlog" => %backlog.on_time, "total_backlog" => %backlog.total,
                     "dead_left" => %request.dead_left, "retry_after" => %refusal.retry_after);
                 return StageAnswer::Refused {
@@ -313,7 +316,8 @@
                         && *failure != SetFailure::Moved
                     {
                         slog::warn!(shared.log, "stage: Set failed.";
-                            "request" => &waiter.request.request, "service" => %self.service,
+                            "request" => &waiter.request.request, "route" => &waiter.request.route,
+                            "service" => %self.service,
                             "stage" => waiter.request.stage, "reason" => ?failure);
                     }
                     // Fails if the request has been dropped.
--- a/crates/gateway/src/staging/stage_flow.rs
+++ b/crates/gateway/src/staging/stage_flow.rs
@@ -4,7 +4,7 @@
 use verbenahub_core::{
     clock::{ClockTime, TimeSpan},
     engines::ZoneResults,
-    ids::{PoolName, ZoneName},
+    ids::{PoolName, WorkspaceId, ZoneName},
     routes::{RouteConfig, RouteSpec},
     staging::{GraphProgress, PathEstimate},
     units::ByteSize,
@@ -56,6 +56,8 @@
     pub config: &'a RouteConfig,
     /// Route of the request.
     pub route: &'a RouteSpec,
+    /// Workspace of the caller, if it has one.
+    pub workspace: Option<&'a WorkspaceId>,
     /// Identifier of the request.
     pub request: &'a str,
     /// Key from which the stages without inputs produce their pieces.
@@ -185,6 +187,8 @@
             dead_left: now.until(deadline - after),
             refusable: is_first && !self.is_repeat,
             movable: true,
+            route: self.route.name.clone(),
+            workspace: self.workspace.map(ToString::to_string).unwrap_or_default(),
         }
     }
 
--- a/crates/gateway/src/staging/stage_message.rs
+++ b/crates/gateway/src/staging/stage_message.rs
@@ -37,6 +37,12 @@
     /// Whether a node that does not collect for the service may answer
     /// [`StageAnswer::Moved`] instead of running the pieces.
     pub movable: bool,
+    /// Name of the request's route.
+    #[serde(default)]
+    pub route: String,
+    /// Workspace of the caller; empty if unknown.
+    #[serde(default)]
+    pub workspace: String,
 }
 
 /// Answer to a [`StageRequest`].
