Learn how long each engine takes to read prompts

PromptScheduler compared engines by pending tokens as if all were alike.

First events (PromptStep::Read) now carry the time since the request was sent, without waits at the node. The scheduler sets it, or the time since the engine's previous prompt if that is shorter, against the tokens of the request and the mean of the service. Costs are tokens times pace, rendezvous owners are weighted by lasting pace, and the attempt's log line gives the paces and their age. News without the time, as from earlier versions, gives no sample, and choices are then as before.

The fixture of the scheduler's tests names the new field; the tests themselves are unchanged and pass.

--- a/crates/core/src/cluster/rendezvous.rs
+++ b/crates/core/src/cluster/rendezvous.rs
@@ -40,3 +40,14 @@
     positions.truncate(count);
     positions
 }
+
+/// Converts a score to a distance: the higher the score, the shorter the
+/// distance. If distances are divided by weights, the shortest one belongs to a
+/// node with a probability proportional to its weight.
+// Scores that round to the same number are ties.
+#[must_use]
+#[allow(clippy::cast_precision_loss)]
+pub fn distance(score: u64) -> f64 {
+    let uniform = (score as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+    -uniform.ln()
+}
--- a/crates/core/src/engines/engine_state.rs
+++ b/crates/core/src/engines/engine_state.rs
@@ -1,7 +1,13 @@
-use super::{PromptStep, prefix_cache_estimate::PrefixCacheEstimate};
+use super::{
+    PromptStep, mean_pace::MeanPace, prefix_cache_estimate::PrefixCacheEstimate,
+    reading_pace::ReadingPace,
+};
 use crate::{
-    clock::ClockTime,
-    policy::health::{CallOutcome, HealthRule, TargetHealth},
+    clock::{ClockTime, TimeSpan},
+    policy::{
+        health::{CallOutcome, HealthRule, TargetHealth},
+        numbers,
+    },
     targets::HEALTH_RULE as TARGET_HEALTH_RULE,
 };
 
@@ -22,6 +28,9 @@
     pub(super) pending_tokens: u64,
     /// Requests that wait or run at the engine.
     pub(super) request_count: u32,
+    pub(super) pace: ReadingPace,
+    /// When the last prefill was reported as complete.
+    last_read_at: Option<ClockTime>,
     health: TargetHealth,
     /// Whether the engine has completed no prefill since its last ejection.
     is_on_probation: bool,
@@ -65,6 +74,32 @@
         }
     }
 
+    /// Records how long the engine took to read the prompt of a request.
+    ///
+    /// Engines read prompts one after the other: the time since the previous
+    /// prompt was complete, or since the request was sent if that was later, went
+    /// to the request's own tokens. An engine that reads several prompts in turn
+    /// has too long a time for the first and too short a one for the others, but
+    /// the sums are right.
+    pub(super) fn record_read(
+        &mut self,
+        tokens: u64,
+        first_event_after: Option<TimeSpan>,
+        mean: &mut MeanPace,
+        now: ClockTime,
+    ) {
+        let previous = self.last_read_at.replace(now);
+        let Some(first_event_after) = first_event_after else {
+            return;
+        };
+        let alone = MeanPace::reading_millis(numbers::millis(first_event_after));
+        let since_previous = previous.map(|previous| numbers::millis(now.since(previous)));
+        let taken = since_previous.map_or(alone, |since| since.min(alone));
+        let tokens = f64::from(u32::try_from(tokens).unwrap_or(u32::MAX));
+        mean.observe(taken, tokens);
+        self.pace.observe(taken, mean.expected_millis(tokens), now);
+    }
+
     /// Records how far the engine has come with a request.
     pub(super) fn record_progress(&mut self, request: &str, step: PromptStep, now: ClockTime) {
         self.probe.take_if(|(probe, _)| probe == request);
--- a/crates/core/src/engines/prompt_progress.rs
+++ b/crates/core/src/engines/prompt_progress.rs
@@ -1,7 +1,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::PromptStep;
-use crate::ids::TargetId;
+use crate::{clock::TimeSpan, ids::TargetId};
 
 /// Reports how far an engine has come with a request.
 ///
@@ -18,4 +18,9 @@
     pub started_at: Option<u64>,
     /// Latest step of the request at this engine.
     pub step: PromptStep,
+    /// Time from sending the request to the first event, with
+    /// [`PromptStep::Read`]. Excludes what the request waited for before it was
+    /// sent. `None` if it is not known, as in reports of earlier versions.
+    #[serde(default)]
+    pub first_event_after: Option<TimeSpan>,
 }
--- a/crates/core/src/engines/prompt_scheduler.rs
+++ b/crates/core/src/engines/prompt_scheduler.rs
@@ -4,14 +4,16 @@
 };
 
 use super::{
-    EngineQuery, PromptProgress, PromptStep,
+    EnginePace, EngineQuery, PromptProgress, PromptStep,
     assigned_request::AssignedRequest,
     engine_state::{EngineState, HEALTH_RULE},
+    mean_pace::MeanPace,
 };
 use crate::{
     clock::{ClockTime, TimeSpan},
     cluster::rendezvous,
     ids::TargetId,
+    policy::numbers,
     targets::TargetRecord,
     units::TokenCount,
 };
@@ -47,10 +49,16 @@
 /// stream, so it gets none while other engines have free slots. A request that
 /// shares parts with a prompt whose prefill is pending is sent to that engine
 /// once that prefill is complete.
+///
+/// Engines of one service differ in speed by up to three times, and some become
+/// slower for a while. The scheduler learns from first events how long each engine
+/// takes relative to the mean, and compares expected times. Slow engines also have
+/// fewer prompts of their own.
 #[derive(Debug)]
 pub struct PromptScheduler {
     cache_capacity: TokenCount,
     engines: BTreeMap<TargetId, EngineState>,
+    mean_pace: MeanPace,
     requests: HashMap<String, AssignedRequest>,
     /// Requests by the time at which they are dropped.
     expiries: BTreeSet<(ClockTime, String)>,
@@ -63,6 +71,7 @@
         Self {
             cache_capacity,
             engines: BTreeMap::new(),
+            mean_pace: MeanPace::default(),
             requests: HashMap::new(),
             expiries: BTreeSet::new(),
         }
@@ -85,6 +94,9 @@
         self.sync_engines(candidates);
         self.expire(now);
         self.remove(&query.request);
+        for state in self.engines.values_mut() {
+            state.pace.update_classes(now);
+        }
         let chosen = self.best(query, candidates, now)?;
         let state = self.engines.get_mut(&chosen)?;
         let awaited = state.prefix_cache.pending_prefill(&query.shared);
@@ -120,6 +132,7 @@
         let assigned = self.requests.get(&progress.request);
         if assigned.is_some_and(|assigned| assigned.engine == progress.engine) {
             if progress.step == PromptStep::Read {
+                self.record_read(progress, now);
                 self.finish_prefill(&progress.request, now);
             } else {
                 self.remove(&progress.request);
@@ -160,6 +173,17 @@
         TokenCount::new(state.map_or(0, |state| state.pending_tokens))
     }
 
+    /// What is known of the time that an engine takes to read prompts.
+    #[must_use]
+    pub fn pace_of(&self, engine: &TargetId, now: ClockTime) -> Option<EnginePace> {
+        let pace = &self.engines.get(engine)?.pace;
+        Some(EnginePace {
+            percent: numbers::percent(pace.current()),
+            lasting_percent: numbers::percent(pace.lasting()),
+            age: pace.sampled_at().map(|at| now.since(at)),
+        })
+    }
+
     /// The engines that may get a request. Unreachable engines get none while any
     /// other is allowed, however many are unreachable. If more than a limited
     /// share of the reachable ones is ejected, all of these stay usable.
@@ -220,7 +244,20 @@
         // scheduled it before, and a first part that all prompts may share must
         // not attract them all to one engine.
         let is_uncached = uncached.iter().all(|uncached| *uncached > 0);
-        let top_score = scores.iter().copied().max()?;
+        // Slow engines have as many fewer prompts as they take longer. Short
+        // slow-downs must not move prompts.
+        let paces = pool
+            .iter()
+            .map(|record| self.engines[&record.id].pace.lasting());
+        let distances = scores.iter().zip(paces).map(|(score, pace)| {
+            let distance = rendezvous::distance(*score) * pace;
+            (distance, *score)
+        });
+        let top = distances.min_by(|(left, left_score), (right, right_score)| {
+            let order = left.total_cmp(right);
+            order.then(right_score.cmp(left_score))
+        });
+        let (_, top_score) = top?;
         let costs = pool.iter().zip(uncached.iter().zip(&scores));
         let best = costs.min_by_key(|(record, (uncached, score))| {
             let remote = query.results.iter();
@@ -231,8 +268,10 @@
             let recomputed = if is_top { 0 } else { **uncached };
             let state = &self.engines[&record.id];
             let is_full = state.request_count >= record.slots;
-            let cost =
-                state.pending_tokens + **uncached + recomputed * RECOMPUTE_WEIGHT + remote_tokens;
+            let tokens = state.pending_tokens + **uncached + query.own.get();
+            let cost = paced_tokens(tokens, state.pace.current())
+                + recomputed * RECOMPUTE_WEIGHT
+                + remote_tokens;
             // Ties go to the highest score, so that a prompt always prefers
             // equal engines in the same order.
             (is_full, cost, !**score)
@@ -280,6 +319,19 @@
         }
     }
 
+    /// Learns from the time that an engine took to read a prompt.
+    fn record_read(&mut self, progress: &PromptProgress, now: ClockTime) {
+        let Some(assigned) = self.requests.get(&progress.request) else {
+            return;
+        };
+        let is_first = assigned.is_prefill_pending && assigned.started_at == progress.started_at;
+        let state = self.engines.get_mut(&assigned.engine);
+        if let Some(state) = state.filter(|_| is_first) {
+            let after = progress.first_event_after;
+            state.record_read(assigned.tokens, after, &mut self.mean_pace, now);
+        }
+    }
+
     /// Marks the prefill of a request as complete.
     fn finish_prefill(&mut self, request: &str, now: ClockTime) {
         let Some(assigned) = self.requests.get_mut(request) else {
@@ -312,3 +364,10 @@
         }
     }
 }
+
+/// The number of tokens that a mean engine reads in the time that an engine of
+/// another pace takes for `tokens`.
+fn paced_tokens(tokens: u64, pace: f64) -> u64 {
+    let percent = u64::from(numbers::percent(pace));
+    tokens.saturating_mul(percent) / 100
+}
--- a/crates/core/src/policy/numbers.rs
+++ b/crates/core/src/policy/numbers.rs
@@ -27,3 +27,10 @@
 pub(crate) fn floor(number: f64) -> usize {
     number as usize
 }
+
+/// A ratio in percent, rounded; zero for a negative number or NaN.
+// The cast saturates.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+pub(crate) fn percent(ratio: f64) -> u32 {
+    (ratio * 100.0).round() as u32
+}
--- a/crates/core/tests/engine_fixture/mod.rs
+++ b/crates/core/tests/engine_fixture/mod.rs
@@ -50,6 +50,7 @@
         engine: engine.clone(),
         started_at: Some(1),
         step,
+        first_event_after: None,
     }
 }
 
--- a/crates/gateway/src/engines/engine_assignment.rs
+++ b/crates/gateway/src/engines/engine_assignment.rs
@@ -1,7 +1,8 @@
 use std::sync::Arc;
 
 use verbenahub_core::{
-    engines::{PromptProgress, PromptStep},
+    clock::ClockTime,
+    engines::{EnginePace, PromptProgress, PromptStep},
     ids::NodeId,
     targets::TargetRecord,
 };
@@ -16,6 +17,10 @@
     chooser: NodeId,
     record: Arc<TargetRecord>,
     request: String,
+    /// What the chooser has learned about the engine's speed.
+    pace: Option<EnginePace>,
+    /// When the request was sent to the engine.
+    sent_at: Option<ClockTime>,
     final_step: PromptStep,
 }
 
@@ -25,12 +30,15 @@
         chooser: NodeId,
         record: Arc<TargetRecord>,
         request: &str,
+        pace: Option<EnginePace>,
     ) -> Self {
         Self {
             shared: Shared::clone(shared),
             chooser,
             record,
             request: request.to_owned(),
+            pace,
+            sent_at: None,
             final_step: PromptStep::Ended,
         }
     }
@@ -47,6 +55,17 @@
         &self.record
     }
 
+    /// What the chooser has learned about the engine's speed.
+    #[must_use]
+    pub const fn pace(&self) -> Option<EnginePace> {
+        self.pace
+    }
+
+    /// Notes that the request is sent to the engine now.
+    pub fn record_send(&mut self) {
+        self.sent_at = Some(self.shared.now());
+    }
+
     /// Reports that the engine has read the prompt.
     pub fn report_read(&self) {
         self.report(PromptStep::Read);
@@ -58,11 +77,13 @@
     }
 
     fn report(&self, step: PromptStep) {
+        let sent_at = self.sent_at.filter(|_| step == PromptStep::Read);
         let news = PromptProgress {
             request: self.request.clone(),
             engine: self.record.id.clone(),
             started_at: self.record.started_at,
             step,
+            first_event_after: sent_at.map(|sent_at| self.shared.now().since(sent_at)),
         };
         let engines = &self.shared.engines;
         engines.report(&self.shared, &self.chooser, &self.record.service, news);
--- a/crates/gateway/src/engines/engine_chooser.rs
+++ b/crates/gateway/src/engines/engine_chooser.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use verbenahub_core::{
     clock::TimeSpan,
-    engines::{EngineQuery, PromptProgress, PromptScheduler},
+    engines::{EnginePace, EngineQuery, PromptProgress, PromptScheduler},
     ids::{PoolName, TargetId},
     targets::TargetRecord,
 };
@@ -23,6 +23,9 @@
     pub engine: Option<TargetId>,
     /// Another request whose prompt the engine should read first, if any.
     pub reader: Option<String>,
+    /// What this node has learned about the engine's speed. Used for logging only.
+    #[serde(default)]
+    pub pace: Option<EnginePace>,
 }
 
 /// Asks for a reply as soon as an engine has read a request's prompt, or never
@@ -86,7 +89,12 @@
         book.set_cache_capacity(memory);
         let engine = book.choose(&ask, &candidates, now);
         let reader = book.awaited_request(&ask.request).map(str::to_owned);
-        EngineReply { engine, reader }
+        let pace = engine.as_ref().and_then(|engine| book.pace_of(engine, now));
+        EngineReply {
+            engine,
+            reader,
+            pace,
+        }
     }
 
     /// Adds the engines to avoid whose limits are used up.
--- a/crates/gateway/src/engines/engine_client.rs
+++ b/crates/gateway/src/engines/engine_client.rs
@@ -67,12 +67,13 @@
                 engine,
                 started_at: None,
                 step: PromptStep::Ended,
+                first_event_after: None,
             };
             self.report(shared, &chooser, &ask.service, news);
             return None;
         };
         let record = Arc::clone(record);
-        let assignment = EngineAssignment::new(shared, chooser, record, &ask.request);
+        let assignment = EngineAssignment::new(shared, chooser, record, &ask.request, reply.pace);
         if let Some(reader) = reply.reader {
             let read = self.wait_until_read(shared, assignment.chooser(), ask, reader);
             read.or(shared.wait_until_departed(assignment.record()))
--- a/crates/gateway/src/front/target_sender.rs
+++ b/crates/gateway/src/front/target_sender.rs
@@ -381,6 +381,9 @@
         if self.history.send_count() == 1 {
             self.shared.retry_budget.earn();
         }
+        if let Some(assignment) = &mut self.assignment {
+            assignment.record_send();
+        }
         let begun = self.shared.now();
         let result = TargetExchange::begin(self.shared, permit, call).await;
         let end = match &result {
@@ -393,11 +396,15 @@
         let attempts = &self.shared.metrics.attempts;
         let service = request.service.as_str();
         attempts.with_label_values(&[service, label]).inc();
+        let pace = self.assignment.as_ref().and_then(EngineAssignment::pace);
         slog::info!(self.shared.log, "request: Attempt ended.";
             "request" => &request.id, "target" => %record.id, "zone" => %record.zone,
             "attempt" => self.history.try_count(), "end" => end,
             "targets_revision" => %record.revision, "left" => %left,
             "chooser" => self.assignment.as_ref().map(|assignment| assignment.chooser().to_string()),
+            "pace_percent" => pace.map(|pace| pace.percent),
+            "lasting_pace_percent" => pace.map(|pace| pace.lasting_percent),
+            "pace_age_ms" => pace.and_then(|pace| pace.age).map(TimeSpan::as_millis),
             "took" => %self.shared.now().since(begun));
         if let Err(SendError::ConnectionLost(reason)) = &result {
             self.record_broken_answer(record, AnswerPhase::Sent, reason);
