Use learned paces only where engines state their work time

Engines of a service that doesn't share its VMs are meant to be served as before, but PromptScheduler used learned paces for every service whose nodes report times of first events.

Load reports now keep the optional fourth figure of Instance-Load (how long work takes on the VM, in percent). One that is absent, zero or unreadable leaves the other three in use, as before. The news of a first event carries it as its last field; news of earlier versions decode without it. PromptScheduler uses paces in its choice once an engine of its service has stated the figure, and goes on learning for the log otherwise. It then compares tokens and rendezvous scores as before. The figure's value has no effect on choices yet, only its presence.

Ruled out: a field in the configuration, since the targets state it themselves; ending the use of paces when statements cease, since a chooser that restarts begins without them anyway.

--- a/crates/core/src/engines/prompt_progress.rs
+++ b/crates/core/src/engines/prompt_progress.rs
@@ -23,4 +23,8 @@
     /// sent. `None` if it is not known, as in reports of earlier versions.
     #[serde(default)]
     pub first_event_after: Option<TimeSpan>,
+    /// How long work takes on the engine's VM, in percent of the usual time, with
+    /// [`PromptStep::Read`]. `None` if the engine doesn't state it.
+    #[serde(default)]
+    pub work_percent: Option<u32>,
 }
--- a/crates/core/src/engines/prompt_scheduler.rs
+++ b/crates/core/src/engines/prompt_scheduler.rs
@@ -53,12 +53,16 @@
 /// Engines of one service differ in speed by up to three times, and some become
 /// slower for a while. The scheduler learns from first events how long each engine
 /// takes relative to the mean, and compares expected times. Slow engines also have
-/// fewer prompts of their own.
+/// fewer prompts of their own. Paces are used only for services whose engines state
+/// how long work takes on their VMs; elsewhere all engines count as equally fast.
 #[derive(Debug)]
 pub struct PromptScheduler {
     cache_capacity: TokenCount,
     engines: BTreeMap<TargetId, EngineState>,
     mean_pace: MeanPace,
+    /// Whether an engine has stated how long work takes on its VM. Only the engines
+    /// of services that share their VMs do, and only these differ in speed.
+    states_work: bool,
     requests: HashMap<String, AssignedRequest>,
     /// Requests by the time at which they are dropped.
     expiries: BTreeSet<(ClockTime, String)>,
@@ -72,6 +76,7 @@
             cache_capacity,
             engines: BTreeMap::new(),
             mean_pace: MeanPace::default(),
+            states_work: false,
             requests: HashMap::new(),
             expiries: BTreeSet::new(),
         }
@@ -244,20 +249,7 @@
         // scheduled it before, and a first part that all prompts may share must
         // not attract them all to one engine.
         let is_uncached = uncached.iter().all(|uncached| *uncached > 0);
-        // Slow engines have as many fewer prompts as they take longer. Short
-        // slow-downs must not move prompts.
-        let paces = pool
-            .iter()
-            .map(|record| self.engines[&record.id].pace.lasting());
-        let distances = scores.iter().zip(paces).map(|(score, pace)| {
-            let distance = rendezvous::distance(*score) * pace;
-            (distance, *score)
-        });
-        let top = distances.min_by(|(left, left_score), (right, right_score)| {
-            let order = left.total_cmp(right);
-            order.then(right_score.cmp(left_score))
-        });
-        let (_, top_score) = top?;
+        let top_score = self.top_score(&pool, &scores)?;
         let costs = pool.iter().zip(uncached.iter().zip(&scores));
         let best = costs.min_by_key(|(record, (uncached, score))| {
             let remote = query.results.iter();
@@ -269,9 +261,8 @@
             let state = &self.engines[&record.id];
             let is_full = state.request_count >= record.slots;
             let tokens = state.pending_tokens + **uncached + query.own.get();
-            let cost = paced_tokens(tokens, state.pace.current())
-                + recomputed * RECOMPUTE_WEIGHT
-                + remote_tokens;
+            let cost =
+                self.paced_tokens(tokens, state) + recomputed * RECOMPUTE_WEIGHT + remote_tokens;
             // Ties go to the highest score, so that a prompt always prefers
             // equal engines in the same order.
             (is_full, cost, !**score)
@@ -279,6 +270,34 @@
         Some(best.0.id.clone())
     }
 
+    /// The rendezvous score of the engine that a prompt belongs to. Where paces are
+    /// used, slow engines have as many fewer prompts as they take longer. Short
+    /// slow-downs must not move prompts.
+    fn top_score(&self, pool: &[&Arc<TargetRecord>], scores: &[u64]) -> Option<u64> {
+        if !self.states_work {
+            return scores.iter().copied().max();
+        }
+        let distances = pool.iter().zip(scores).map(|(record, score)| {
+            let pace = self.engines[&record.id].pace.lasting();
+            (rendezvous::distance(*score) * pace, *score)
+        });
+        let top = distances.min_by(|(left, left_score), (right, right_score)| {
+            let order = left.total_cmp(right);
+            order.then(right_score.cmp(left_score))
+        });
+        top.map(|(_, score)| score)
+    }
+
+    /// The number of tokens that a mean engine reads in the time that an engine
+    /// takes for `tokens`, where paces are used.
+    fn paced_tokens(&self, tokens: u64, state: &EngineState) -> u64 {
+        if !self.states_work {
+            return tokens;
+        }
+        let percent = u64::from(numbers::percent(state.pace.current()));
+        tokens.saturating_mul(percent) / 100
+    }
+
     /// Adds and removes engines to match the candidates. An engine that has
     /// restarted has nothing cached, and requests assigned before are dropped.
     fn sync_engines(&mut self, candidates: &[Arc<TargetRecord>]) {
@@ -329,6 +348,7 @@
         if let Some(state) = state.filter(|_| is_first) {
             let after = progress.first_event_after;
             state.record_read(assigned.tokens, after, &mut self.mean_pace, now);
+            self.states_work |= progress.work_percent.is_some();
         }
     }
 
@@ -364,10 +384,3 @@
         }
     }
 }
-
-/// The number of tokens that a mean engine reads in the time that an engine of
-/// another pace takes for `tokens`.
-fn paced_tokens(tokens: u64, pace: f64) -> u64 {
-    let percent = u64::from(numbers::percent(pace));
-    tokens.saturating_mul(percent) / 100
-}
--- a/crates/core/src/targets/target_loads.rs
+++ b/crates/core/src/targets/target_loads.rs
@@ -119,6 +119,13 @@
         load.report = Some(report);
     }
 
+    /// How long work takes on a target's VM, in percent of the usual time, as stated
+    /// in its latest load report.
+    #[must_use]
+    pub fn work_percent(&self, target: &TargetId) -> Option<u32> {
+        self.loads.get(target)?.report?.work_percent
+    }
+
     /// Starts a backoff: the target gets no requests until `until`. If the same run
     /// has asked for a later end before, that end stays in effect.
     pub fn set_backoff(&mut self, record: &TargetRecord, until: ClockTime) {
--- a/crates/core/tests/engine_fixture/mod.rs
+++ b/crates/core/tests/engine_fixture/mod.rs
@@ -51,6 +51,7 @@
         started_at: Some(1),
         step,
         first_event_after: None,
+        work_percent: None,
     }
 }
 
--- a/crates/core/tests/engine_paces.rs
+++ b/crates/core/tests/engine_paces.rs
@@ -4,8 +4,10 @@
 mod engine_fixture;
 mod engine_simulation;
 
+use verbenahub_core::engines::{PromptProgress, PromptStep};
+
 use self::{
-    engine_fixture::ENGINES,
+    engine_fixture::{ENGINES, engines, progress},
     engine_simulation::{Simulation, SimulationResult},
 };
 
@@ -41,6 +43,34 @@
     }
 }
 
+/// Guards against learned speeds that change the choices of a service whose
+/// engines don't state how long work takes.
+#[test]
+fn speeds_are_not_used_while_no_engine_states_how_long_work_takes() {
+    for seed in 1..=3 {
+        let simulate = |is_learning| {
+            let mut simulation = Simulation::new(&uneven_speeds(), seed);
+            simulation.is_learning = is_learning;
+            simulation.states_work = false;
+            simulation.has_slow_downs = true;
+            simulation.run(30_000)
+        };
+        let (blind, learned) = (simulate(false), simulate(true));
+        assert!(blind.assignments == learned.assignments, "seed {seed}");
+    }
+}
+
+/// Guards against news of earlier versions, which are arrays with fewer fields,
+/// that can't be read.
+#[test]
+fn news_of_earlier_versions_is_read() {
+    let id = &engines(1)[0].id;
+    let news = ("r0", id, Some(1), PromptStep::Read);
+    let encoded = rmp_serde::to_vec(&news).expect("encoded news");
+    let decoded: PromptProgress = rmp_serde::from_slice(&encoded).expect("news");
+    assert_eq!(decoded, progress("r0", id, PromptStep::Read));
+}
+
 /// Guards against differences between equal engines that come from noise, and
 /// against shared prompts that move between them.
 #[test]
--- a/crates/core/tests/engine_simulation/mod.rs
+++ b/crates/core/tests/engine_simulation/mod.rs
@@ -54,6 +54,8 @@
 pub struct Simulation {
     /// Whether the scheduler learns the speed of engines.
     pub is_learning: bool,
+    /// Whether engines state how long work takes on their VMs.
+    pub states_work: bool,
     /// Whether engines become slower for a while at random times.
     pub has_slow_downs: bool,
     /// Requests a second for each engine.
@@ -75,7 +77,7 @@
     /// Requests assigned to each engine.
     pub assigned: Vec<usize>,
     /// Time of each assignment, with the engine.
-    assignments: Vec<(u64, usize)>,
+    pub assignments: Vec<(u64, usize)>,
     /// Streams with a pause above the limit.
     pub late_streams: usize,
     /// Tokens that were read.
@@ -169,6 +171,7 @@
         };
         Self {
             is_learning: true,
+            states_work: true,
             has_slow_downs: false,
             rate_per_engine: 2.7,
             slow_engine: None,
@@ -201,6 +204,7 @@
                 if self.is_learning && item.step == PromptStep::Read {
                     let after = TimeSpan::from_millis(whole(item.first_event_after));
                     report.first_event_after = Some(after);
+                    report.work_percent = self.states_work.then_some(100);
                 }
                 scheduler.record_progress(&report, clock);
                 false
--- a/crates/core/tests/gateway_targets.rs
+++ b/crates/core/tests/gateway_targets.rs
@@ -71,6 +71,7 @@
             running: if target.id.as_str() == "t0" { 0 } else { 4 },
             waiting: 0,
             slots: 8,
+            work_percent: None,
             at: at(0),
         };
         loads.report(&target.id, report);
@@ -95,6 +96,7 @@
         running: 8,
         waiting: 20,
         slots: 8,
+        work_percent: None,
         at: at(0),
     };
     loads.report(&targets[0].id, busy);
@@ -373,3 +375,37 @@
         "stage 0 does not wait for the end of the other branch"
     );
 }
+
+/// Guards against a load report that is lost because of its optional figure, and
+/// against a value that is no statement.
+#[test]
+fn load_report_may_state_how_long_work_takes() {
+    let decode = |text| LoadReport::decode(text, at(5));
+    let report = |work_percent| LoadReport {
+        running: 1,
+        waiting: 2,
+        slots: 8,
+        work_percent,
+        at: at(5),
+    };
+    assert_eq!(decode("1,2,8"), Some(report(None)));
+    assert_eq!(decode("1, 2, 8, 250"), Some(report(Some(250))));
+    for text in ["1,2,8,", "1,2,8,x", "1,2,8,-1", "1,2,8,0"] {
+        assert_eq!(decode(text), Some(report(None)), "{text}");
+    }
+    assert_eq!(decode("1,2"), None);
+    assert_eq!(decode("x,2,8,100"), None);
+}
+
+/// Guards against news of first events that don't carry the latest statement.
+#[test]
+fn latest_report_tells_how_long_work_takes() {
+    let targets = targets(1);
+    let id = &targets[0].id;
+    let mut loads = TargetLoads::default();
+    assert_eq!(loads.work_percent(id), None);
+    for (text, percent) in [("1,2,8,250", Some(250)), ("1,2,8", None)] {
+        loads.report(id, LoadReport::decode(text, at(0)).expect("a report"));
+        assert_eq!(loads.work_percent(id), percent);
+    }
+}
--- a/crates/gateway/src/engines/engine_assignment.rs
+++ b/crates/gateway/src/engines/engine_assignment.rs
@@ -78,12 +78,16 @@
 
     fn report(&self, step: PromptStep) {
         let sent_at = self.sent_at.filter(|_| step == PromptStep::Read);
+        let loads = self.shared.loads.borrow();
+        let work_percent = loads.work_percent(&self.record.id);
+        drop(loads);
         let news = PromptProgress {
             request: self.request.clone(),
             engine: self.record.id.clone(),
             started_at: self.record.started_at,
             step,
             first_event_after: sent_at.map(|sent_at| self.shared.now().since(sent_at)),
+            work_percent: work_percent.filter(|_| step == PromptStep::Read),
         };
         let engines = &self.shared.engines;
         engines.report(&self.shared, &self.chooser, &self.record.service, news);
--- a/crates/gateway/src/engines/engine_client.rs
+++ b/crates/gateway/src/engines/engine_client.rs
@@ -68,6 +68,7 @@
                 started_at: None,
                 step: PromptStep::Ended,
                 first_event_after: None,
+                work_percent: None,
             };
             self.report(shared, &chooser, &ask.service, news);
             return None;
--- a/crates/gateway/src/targets/target_exchange.rs
+++ b/crates/gateway/src/targets/target_exchange.rs
@@ -353,15 +353,7 @@
     let Some(text) = head.headers.text(headers::LOAD) else {
         return;
     };
-    let mut numbers = text.split(',').map(|number| number.trim().parse().ok());
-    let mut next = || numbers.next().flatten();
-    if let (Some(running), Some(waiting), Some(slots)) = (next(), next(), next()) {
-        let report = LoadReport {
-            running,
-            waiting,
-            slots,
-            at: shared.now(),
-        };
+    if let Some(report) = LoadReport::decode(text, shared.now()) {
         shared.loads.borrow_mut().report(&record.id, report);
     }
 }
