Send each engine a request within two seconds

PromptScheduler now gives an engine without a request for 1 s the next prompt that it has cached, and one without a request for 1.7 s any prompt, at most every fifth. This applies only where paces are used.

--- a/crates/core/src/engines/engine_state.rs
+++ b/crates/core/src/engines/engine_state.rs
@@ -18,6 +18,13 @@
     ..TARGET_HEALTH_RULE
 };
 
+/// Time without a request after which an engine should get one whose shared parts
+/// it has cached.
+const CHEAP_SAMPLE_INTERVAL: TimeSpan = TimeSpan::from_millis(1_000);
+/// Time without a request after which an engine should get any, so that each gets
+/// one in every two seconds.
+const SAMPLE_INTERVAL: TimeSpan = TimeSpan::from_millis(1_700);
+
 /// What the scheduler knows about one engine.
 #[derive(Debug, Default)]
 pub(super) struct EngineState {
@@ -31,6 +38,8 @@
     pub(super) pace: ReadingPace,
     /// When the last prefill was reported as complete.
     last_read_at: Option<ClockTime>,
+    /// When the last request was assigned.
+    pub(super) assigned_at: ClockTime,
     health: TargetHealth,
     /// Whether the engine has completed no prefill since its last ejection.
     is_on_probation: bool,
@@ -64,6 +73,17 @@
         self.has_lost_contact && self.is_ejected(now)
     }
 
+    /// Whether the engine has had no request for so long that a recovery would go
+    /// unnoticed, and should get one with `uncached` shared tokens to read.
+    pub(super) fn needs_sample(&self, uncached: u64, now: ClockTime) -> bool {
+        let interval = if uncached == 0 {
+            CHEAP_SAMPLE_INTERVAL
+        } else {
+            SAMPLE_INTERVAL
+        };
+        now.since(self.assigned_at) >= interval
+    }
+
     /// Counts a request assigned to the engine, with the tokens to prefill for
     /// it. An engine on probation gets no other request until `until`.
     pub(super) fn assign(&mut self, request: &str, tokens: u64, until: ClockTime) {
--- a/crates/core/src/engines/prompt_scheduler.rs
+++ b/crates/core/src/engines/prompt_scheduler.rs
@@ -36,6 +36,11 @@
 /// has had them prefilled. Fewer are prefilled before the report of it arrives.
 const MIN_AWAITED_TOKENS: TokenCount = TokenCount::new(1_000);
 
+/// Requests between two that go to an engine only because it has had none for a
+/// while. Limits the share of prompts that are read where they aren't cached. With
+/// 8, several engines that were due at once waited for more than two seconds.
+const SAMPLE_SPACING: u32 = 4;
+
 /// Assigns the prompts of all nodes to engines.
 ///
 /// Designed for this load pattern: prompts are long and differ much in length,
@@ -63,6 +68,8 @@
     /// Whether an engine has stated how long work takes on its VM. Only the engines
     /// of services that share their VMs do, and only these differ in speed.
     states_work: bool,
+    /// Requests since one was assigned to an engine that had long had none.
+    requests_since_sample: u32,
     requests: HashMap<String, AssignedRequest>,
     /// Requests by the time at which they are dropped.
     expiries: BTreeSet<(ClockTime, String)>,
@@ -77,6 +84,7 @@
             engines: BTreeMap::new(),
             mean_pace: MeanPace::default(),
             states_work: false,
+            requests_since_sample: 0,
             requests: HashMap::new(),
             expiries: BTreeSet::new(),
         }
@@ -104,6 +112,12 @@
         }
         let chosen = self.best(query, candidates, now)?;
         let state = self.engines.get_mut(&chosen)?;
+        self.requests_since_sample = if state.needs_sample(u64::MAX, now) {
+            0
+        } else {
+            self.requests_since_sample.saturating_add(1)
+        };
+        state.assigned_at = now;
         let awaited = state.prefix_cache.pending_prefill(&query.shared);
         let awaited = awaited.filter(|(_, tokens)| *tokens >= MIN_AWAITED_TOKENS);
         let awaited_request = awaited.map(|(request, _)| request.to_owned());
@@ -235,6 +249,9 @@
                     .uncached_tokens(&query.shared, self.cache_capacity)
             })
             .collect();
+        if let Some(record) = self.unsampled(&pool, &uncached, now) {
+            return Some(record.id.clone());
+        }
         let last_part = query.shared.last();
         let key = last_part.map_or_else(|| rendezvous::text_hash(&query.request), |part| part.hash);
         let scores: Vec<u64> = pool
@@ -270,6 +287,31 @@
         Some(best.0.id.clone())
     }
 
+    /// The engine that has been without a request for the longest time, if it gets
+    /// the next one because its recovery would otherwise go unnoticed.
+    fn unsampled<'a>(
+        &self,
+        pool: &[&'a Arc<TargetRecord>],
+        uncached: &[u64],
+        now: ClockTime,
+    ) -> Option<&'a Arc<TargetRecord>> {
+        if !self.states_work {
+            return None;
+        }
+        let is_full = |record: &TargetRecord| {
+            let state = &self.engines[&record.id];
+            state.request_count >= record.slots
+        };
+        let may_read = self.requests_since_sample >= SAMPLE_SPACING;
+        let unsampled = pool.iter().copied().zip(uncached);
+        let unsampled = unsampled.filter(|(record, uncached)| {
+            let state = &self.engines[&record.id];
+            state.needs_sample(**uncached, now) && !is_full(record) && (**uncached == 0 || may_read)
+        });
+        let first = unsampled.min_by_key(|(record, _)| self.engines[&record.id].assigned_at);
+        first.map(|(record, _)| record)
+    }
+
     /// The rendezvous score of the engine that a prompt belongs to. Where paces are
     /// used, slow engines have as many fewer prompts as they take longer. Short
     /// slow-downs must not move prompts.
--- a/crates/core/tests/engine_simulation/mod.rs
+++ b/crates/core/tests/engine_simulation/mod.rs
@@ -50,6 +50,15 @@
 const BURST: f64 = 1.6;
 const MEAN_BURST: f64 = 1.12;
 
+/// How the rate of requests changes.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum LoadPattern {
+    /// Waves, with bursts in between.
+    Bursts,
+    /// The same rate all the time.
+    Steady,
+}
+
 /// A replay of a load on engines.
 pub struct Simulation {
     /// Whether the scheduler learns the speed of engines.
@@ -60,6 +69,7 @@
     pub has_slow_downs: bool,
     /// Requests a second for each engine.
     pub rate_per_engine: f64,
+    pub pattern: LoadPattern,
     /// An engine that is slower from one time to another.
     pub slow_engine: Option<(usize, u64, u64)>,
     records: Vec<Arc<TargetRecord>>,
@@ -130,6 +140,17 @@
         sorted[sorted.len() * percent / 100]
     }
 
+    /// Longest time in milliseconds, from `from` to `until`, in which an engine gets
+    /// no request.
+    pub fn longest_idle(&self, engine: usize, from: u64, until: u64) -> u64 {
+        let own = self.assignments.iter();
+        let own = own.filter(|(time, other)| *other == engine && (from..until).contains(time));
+        let ends = own.map(|(time, _)| *time).chain([until]);
+        let mut previous = from;
+        let gaps = ends.map(|time| time - std::mem::replace(&mut previous, time));
+        gaps.max().unwrap_or_default()
+    }
+
     /// An engine's share of the requests of a period, relative to an equal share.
     pub fn share_of(&self, engine: usize, from: u64, until: u64) -> f64 {
         let all = self.assignments.iter();
@@ -174,6 +195,7 @@
             states_work: true,
             has_slow_downs: false,
             rate_per_engine: 2.7,
+            pattern: LoadPattern::Bursts,
             slow_engine: None,
             records: records.collect(),
             engines: speeds.iter().map(engine).collect(),
@@ -265,6 +287,9 @@
     /// between.
     fn request_rate(&self, now: u64) -> f64 {
         let mean = self.rate_per_engine * ratio(self.engines.len(), 1_000);
+        if self.pattern == LoadPattern::Steady {
+            return mean;
+        }
         let wave = 1.0 + 0.5 * (float(now) / 8_000.0).sin();
         let burst = if now % 20_000 > 16_000 { BURST } else { 1.0 };
         mean * wave * burst / MEAN_BURST
