--- a/crates/core/src/engines/prompt_scheduler.rs
+++ b/crates/core/src/engines/prompt_scheduler.rs
@@ -4,14 +4,16 @@
 };
 
 use super::{
-    EngineQuery, PromptProgress, PromptStep,
+    EnginePace, EngineQuery, PromptProgress, PromptStep,
     assigned_request::AssignedRequest,
     engine_state::{EngineState, HEALTH_RULE},
+    mean_pace::MeanPace,
 };
 use crate::{
     clock::{ClockTime, TimeSpan},
     cluster::rendezvous,
     ids::TargetId,
+    policy::numbers,
     targets::TargetRecord,
     units::TokenCount,
 };
@@ -34,6 +36,11 @@
 /// has had them prefilled. Fewer are prefilled before the report of it arrives.
 const MIN_AWAITED_TOKENS: TokenCount = TokenCount::new(1_000);
 
+/// Requests between two that go to an engine only because it has had none for a
+/// while. Limits the share of prompts that are read where they aren't cached. With
+/// 8, several engines that were due at once waited for more than two seconds.
+const SAMPLE_SPACING: u32 = 4;
+
 /// Assigns the prompts of all nodes to engines.
 ///
 /// Designed for this load pattern: prompts are long and differ much in length,
@@ -47,10 +54,22 @@
 /// stream, so it gets none while other engines have free slots. A request that
 /// shares parts with a prompt whose prefill is pending is sent to that engine
 /// once that prefill is complete.
+///
+/// Engines of one service differ in speed by up to three times, and some become
+/// slower for a while. The scheduler learns from first events how long each engine
+/// takes relative to the mean, and compares expected times. Slow engines also have
+/// fewer prompts of their own. Paces are used only for services whose engines state
+/// how long work takes on their VMs; elsewhere all engines count as equally fast.
 #[derive(Debug)]
 pub struct PromptScheduler {
     cache_capacity: TokenCount,
     engines: BTreeMap<TargetId, EngineState>,
+    mean_pace: MeanPace,
+    /// Whether an engine has stated how long work takes on its VM. Only the engines
+    /// of services that share their VMs do, and only these differ in speed.
+    states_work: bool,
+    /// Requests since one was assigned to an engine that had long had none.
+    requests_since_sample: u32,
     requests: HashMap<String, AssignedRequest>,
     /// Requests by the time at which they are dropped.
     expiries: BTreeSet<(ClockTime, String)>,
@@ -63,6 +82,9 @@
         Self {
             cache_capacity,
             engines: BTreeMap::new(),
+            mean_pace: MeanPace::default(),
+            states_work: false,
+            requests_since_sample: 0,
             requests: HashMap::new(),
             expiries: BTreeSet::new(),
         }
@@ -85,8 +107,17 @@
         self.sync_engines(candidates);
         self.expire(now);
         self.remove(&query.request);
+        for state in self.engines.values_mut() {
+            state.pace.update_classes(now);
+        }
         let chosen = self.best(query, candidates, now)?;
         let state = self.engines.get_mut(&chosen)?;
+        self.requests_since_sample = if state.needs_sample(u64::MAX, now) {
+            0
+        } else {
+            self.requests_since_sample.saturating_add(1)
+        };
+        state.assigned_at = now;
         let awaited = state.prefix_cache.pending_prefill(&query.shared);
         let awaited = awaited.filter(|(_, tokens)| *tokens >= MIN_AWAITED_TOKENS);
         let awaited_request = awaited.map(|(request, _)| request.to_owned());
@@ -120,6 +151,7 @@
         let assigned = self.requests.get(&progress.request);
         if assigned.is_some_and(|assigned| assigned.engine == progress.engine) {
             if progress.step == PromptStep::Read {
+                self.record_read(progress, now);
                 self.finish_prefill(&progress.request, now);
             } else {
                 self.remove(&progress.request);
@@ -160,6 +192,17 @@
         TokenCount::new(state.map_or(0, |state| state.pending_tokens))
     }
 
+    /// What is known of the time that an engine takes to read prompts.
+    #[must_use]
+    pub fn pace_of(&self, engine: &TargetId, now: ClockTime) -> Option<EnginePace> {
+        let pace = &self.engines.get(engine)?.pace;
+        Some(EnginePace {
+            percent: numbers::percent(pace.current()),
+            lasting_percent: numbers::percent(pace.lasting()),
+            age: pace.sampled_at().map(|at| now.since(at)),
+        })
+    }
+
     /// The engines that may get a request. Unreachable engines get none while any
     /// other is allowed, however many are unreachable. If more than a limited
     /// share of the reachable ones is ejected, all of these stay usable.
@@ -206,6 +249,9 @@
                     .uncached_tokens(&query.shared, self.cache_capacity)
             })
             .collect();
+        if let Some(record) = self.unsampled(&pool, &uncached, now) {
+            return Some(record.id.clone());
+        }
         let last_part = query.shared.last();
         let key = last_part.map_or_else(|| rendezvous::text_hash(&query.request), |part| part.hash);
         let scores: Vec<u64> = pool
@@ -220,7 +266,7 @@
         // scheduled it before, and a first part that all prompts may share must
         // not attract them all to one engine.
         let is_uncached = uncached.iter().all(|uncached| *uncached > 0);
-        let top_score = scores.iter().copied().max()?;
+        let top_score = self.top_score(&pool, &scores)?;
         let costs = pool.iter().zip(uncached.iter().zip(&scores));
         let best = costs.min_by_key(|(record, (uncached, score))| {
             let remote = query.results.iter();
@@ -231,8 +277,9 @@
             let recomputed = if is_top { 0 } else { **uncached };
             let state = &self.engines[&record.id];
             let is_full = state.request_count >= record.slots;
+            let tokens = state.pending_tokens + **uncached + query.own.get();
             let cost =
-                state.pending_tokens + **uncached + recomputed * RECOMPUTE_WEIGHT + remote_tokens;
+                self.paced_tokens(tokens, state) + recomputed * RECOMPUTE_WEIGHT + remote_tokens;
             // Ties go to the highest score, so that a prompt always prefers
             // equal engines in the same order.
             (is_full, cost, !**score)
@@ -240,6 +287,59 @@
         Some(best.0.id.clone())
     }
 
+    /// The engine that has been without a request for the longest time, if it gets
+    /// the next one because its recovery would otherwise go unnoticed.
+    fn unsampled<'a>(
+        &self,
+        pool: &[&'a Arc<TargetRecord>],
+        uncached: &[u64],
+        now: ClockTime,
+    ) -> Option<&'a Arc<TargetRecord>> {
+        if !self.states_work {
+            return None;
+        }
+        let is_full = |record: &TargetRecord| {
+            let state = &self.engines[&record.id];
+            state.request_count >= record.slots
+        };
+        let may_read = self.requests_since_sample >= SAMPLE_SPACING;
+        let unsampled = pool.iter().copied().zip(uncached);
+        let unsampled = unsampled.filter(|(record, uncached)| {
+            let state = &self.engines[&record.id];
+            state.needs_sample(**uncached, now) && !is_full(record) && (**uncached == 0 || may_read)
+        });
+        let first = unsampled.min_by_key(|(record, _)| self.engines[&record.id].assigned_at);
+        first.map(|(record, _)| record)
+    }
+
+    /// The rendezvous score of the engine that a prompt belongs to. Where paces are
+    /// used, slow engines have as many fewer prompts as they take longer. Short
+    /// slow-downs must not move prompts.
+    fn top_score(&self, pool: &[&Arc<TargetRecord>], scores: &[u64]) -> Option<u64> {
+        if !self.states_work {
+            return scores.iter().copied().max();
+        }
+        let distances = pool.iter().zip(scores).map(|(record, score)| {
+            let pace = self.engines[&record.id].pace.lasting();
+            (rendezvous::distance(*score) * pace, *score)
+        });
+        let top = distances.min_by(|(left, left_score), (right, right_score)| {
+            let order = left.total_cmp(right);
+            order.then(right_score.cmp(left_score))
+        });
+        top.map(|(_, score)| score)
+    }
+
+    /// The number of tokens that a mean engine reads in the time that an engine
+    /// takes for `tokens`, where paces are used.
+    fn paced_tokens(&self, tokens: u64, state: &EngineState) -> u64 {
+        if !self.states_work {
+            return tokens;
+        }
+        let percent = u64::from(numbers::percent(state.pace.current()));
+        tokens.saturating_mul(percent) / 100
+    }
+
     /// Adds and removes engines to match the candidates. An engine that has
     /// restarted has nothing cached, and requests assigned before are dropped.
     fn sync_engines(&mut self, candidates: &[Arc<TargetRecord>]) {
@@ -280,6 +380,20 @@
         }
     }
 
+    /// Learns from the time that an engine took to read a prompt.
+    fn record_read(&mut self, progress: &PromptProgress, now: ClockTime) {
+        let Some(assigned) = self.requests.get(&progress.request) else {
+            return;
+        };
+        let is_first = assigned.is_prefill_pending && assigned.started_at == progress.started_at;
+        let state = self.engines.get_mut(&assigned.engine);
+        if let Some(state) = state.filter(|_| is_first) {
+            let after = progress.first_event_after;
+            state.record_read(assigned.tokens, after, &mut self.mean_pace, now);
+            self.states_work |= progress.work_percent.is_some();
+        }
+    }
+
     /// Marks the prefill of a request as complete.
     fn finish_prefill(&mut self, request: &str, now: ClockTime) {
         let Some(assigned) = self.requests.get_mut(request) else {
