Limit requests to cold targets

Targets that have just started, or whose zone was evacuated, tolerate ColdPerS requests a second and crash well above that. The gateway ignored ColdLeftMs, so a zone of idle, cold engines attracted most requests.

ColdTargets records until when each run of a target is cold, from its record, from the end of an evacuation and from permit queries. While it is cold, the permits that enforce named limits enforce ColdPerS too, with a smaller burst, since cold targets are counted in every second. An owner that has taken over grants a quarter for 3 s (OwnerTenure), because the former one may still grant all. Requests that find a target used up go to targets without a limit.

--- a/crates/core/src/routes/route_config.rs
+++ b/crates/core/src/routes/route_config.rs
@@ -5,6 +5,7 @@
 use super::{CallerLimits, ConfigRank, RouteSpec, ServiceSpec, WorkspaceKeys};
 use crate::{
     ids::{PoolName, StoreRevision},
+    targets::RequestLimit,
     units::TokenCount,
 };
 
@@ -71,6 +72,20 @@
             .and_then(|spec| spec.engine_memory)
     }
 
+    /// Requests a second that a cold target of a service tolerates, if that is
+    /// limited.
+    #[must_use]
+    pub fn cold_limit(&self, service: &PoolName) -> Option<RequestLimit> {
+        self.services.get(service).and_then(|spec| spec.cold_limit)
+    }
+
+    /// Names of the services whose cold targets tolerate a limited rate of requests.
+    pub fn cold_limited_services(&self) -> impl Iterator<Item = &PoolName> {
+        let limited = self.services.iter();
+        let limited = limited.filter(|(_, spec)| spec.cold_limit.is_some());
+        limited.map(|(service, _)| service)
+    }
+
     /// Names of the services that run stages.
     pub fn stage_services(&self) -> impl Iterator<Item = &PoolName> {
         let stages = self.services.iter();
--- a/crates/core/src/routes/service_spec.rs
+++ b/crates/core/src/routes/service_spec.rs
@@ -1,7 +1,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::StageService;
-use crate::{ids::PoolName, units::TokenCount};
+use crate::{clock::TimeSpan, ids::PoolName, targets::RequestLimit, units::TokenCount};
 
 /// A service that handles requests or runs stages.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -12,4 +12,10 @@
     pub stage: Option<StageService>,
     /// Prompt memory of each of its targets, in tokens, if they are model engines.
     pub engine_memory: Option<TokenCount>,
+    /// Time for which its targets are cold after their start. Zero if they never are.
+    #[serde(default)]
+    pub cold_start: TimeSpan,
+    /// Requests a second that a cold target tolerates, if that is limited.
+    #[serde(default)]
+    pub cold_limit: Option<RequestLimit>,
 }
--- a/crates/core/src/targets/evacuated_zones.rs
+++ b/crates/core/src/targets/evacuated_zones.rs
@@ -38,6 +38,13 @@
             .is_some_and(|state| state.is_evacuated)
     }
 
+    /// Whether a notice is of a later revision than what is known of its zone.
+    #[must_use]
+    pub fn is_news(&self, notice: &ZoneNotice) -> bool {
+        let known = self.states.get(&notice.zone);
+        known.is_none_or(|known| notice.revision > known.revision)
+    }
+
     /// Applies notices from the store or from another node. Returns those that start
     /// or end an evacuation.
     pub fn merge(&mut self, notices: Vec<ZoneNotice>) -> Vec<ZoneNotice> {
--- a/crates/core/src/targets/limit_notice.rs
+++ b/crates/core/src/targets/limit_notice.rs
@@ -1,6 +1,6 @@
 use serde::{Deserialize, Serialize};
 
-use super::RequestLimit;
+use super::{RequestLimit, TargetRecord};
 use crate::{clock::TimeSpan, ids::TargetId};
 
 /// What one run of a target last said about its limit, as nodes pass it on to each
@@ -16,3 +16,22 @@
     /// Time since the target said so.
     pub age: TimeSpan,
 }
+
+impl LimitNotice {
+    /// The notice of a run of which no statement about a limit is known.
+    #[must_use]
+    pub fn unstated(record: &TargetRecord) -> Self {
+        Self {
+            target: record.id.clone(),
+            started_at: record.started_at,
+            limit: None,
+            age: TimeSpan::MAX,
+        }
+    }
+
+    /// Whether the run has made a statement about its limit.
+    #[must_use]
+    pub fn is_stated(&self) -> bool {
+        self.age < TimeSpan::MAX
+    }
+}
--- a/crates/core/src/targets/mod.rs
+++ b/crates/core/src/targets/mod.rs
@@ -1,13 +1,19 @@
 //! Targets that register themselves: which of them may get work, including while
 //! the registry is unavailable.
 
+mod cold_change;
+mod cold_notice;
+mod cold_targets;
+mod effective_limit;
 mod evacuated_zones;
 mod leaving_notice;
 mod leaving_targets;
 mod limit_notice;
 mod load_report;
+mod owner_tenure;
 mod permit_decision;
 mod permit_ledger;
+mod permit_pace;
 mod registry_change;
 mod removed_run;
 mod request_limit;
@@ -24,13 +30,19 @@
 mod zone_notice;
 
 pub use self::{
+    cold_change::ColdChange,
+    cold_notice::ColdNotice,
+    cold_targets::ColdTargets,
+    effective_limit::EffectiveLimit,
     evacuated_zones::EvacuatedZones,
     leaving_notice::LeavingNotice,
     leaving_targets::LeavingTargets,
     limit_notice::LimitNotice,
     load_report::LoadReport,
+    owner_tenure::OwnerTenure,
     permit_decision::PermitDecision,
     permit_ledger::PermitLedger,
+    permit_pace::PermitPace,
     registry_change::RegistryChange,
     request_limit::{RequestLimit, RequestLimitError},
     retry_after::RetryAfter,
--- a/crates/core/src/targets/permit_ledger.rs
+++ b/crates/core/src/targets/permit_ledger.rs
@@ -1,10 +1,9 @@
 use std::collections::BTreeMap;
 
-use super::{PermitDecision, TargetRecord, send_pacer::SendPacer};
+use super::{PermitDecision, PermitPace, TargetRecord, send_pacer::SendPacer};
 use crate::{
     clock::{ClockTime, TimeSpan},
     ids::TargetId,
-    units::RateLimit,
 };
 
 /// Time after which an unused share of a limit is forgotten. The shares of many
@@ -35,21 +34,25 @@
         }
     }
 
-    /// Takes the next permit for a request to a target at `rate`, if it is available
+    /// Takes the next permit for a request to a target at `pace`, if it is available
     /// within `patience`.
-    pub fn acquire(
+    pub fn acquire<Pace>(
         &mut self,
         record: &TargetRecord,
-        rate: RateLimit,
+        pace: Pace,
         patience: TimeSpan,
         now: ClockTime,
-    ) -> PermitDecision {
-        self.pacer(record, now).acquire(rate, patience, now)
+    ) -> PermitDecision
+    where
+        Pace: Into<PermitPace>,
+    {
+        let pace = pace.into();
+        self.pacer(record, pace, now).acquire(pace, patience, now)
     }
 
     /// Time until the next permit for a target is available.
-    pub fn wait(&mut self, record: &TargetRecord, rate: RateLimit, now: ClockTime) -> TimeSpan {
-        self.pacer(record, now).wait(rate, now)
+    pub fn wait(&mut self, record: &TargetRecord, pace: PermitPace, now: ClockTime) -> TimeSpan {
+        self.pacer(record, pace, now).wait(pace, now)
     }
 
     /// Forgets the unused permits for a target, for which another node grants
@@ -66,16 +69,16 @@
         self.pacers.retain(|(target, _), _| is_known(target));
     }
 
-    fn pacer(&mut self, record: &TargetRecord, now: ClockTime) -> &mut SendPacer {
+    fn pacer(&mut self, record: &TargetRecord, pace: PermitPace, now: ClockTime) -> &mut SendPacer {
         let pacers = &mut self.pacers;
         let pacer = pacers
             .entry(key(record))
-            .or_insert_with(|| SendPacer::new(now));
+            .or_insert_with(|| SendPacer::new(pace, now));
         if self
             .idle_limit
             .is_some_and(|limit| pacer.idle_time(now) >= limit)
         {
-            *pacer = SendPacer::new(now);
+            *pacer = SendPacer::new(pace, now);
         }
         pacer
     }
--- a/crates/core/src/targets/request_limit.rs
+++ b/crates/core/src/targets/request_limit.rs
@@ -22,6 +22,12 @@
 pub struct RequestLimit(RateLimit);
 
 impl RequestLimit {
+    /// Creates a limit from a rate.
+    #[must_use]
+    pub const fn new(rate: RateLimit) -> Self {
+        Self(rate)
+    }
+
     /// The limit as a rate.
     #[must_use]
     pub const fn rate(self) -> RateLimit {
--- a/crates/core/src/targets/target_record.rs
+++ b/crates/core/src/targets/target_record.rs
@@ -3,7 +3,10 @@
 use serde::{Deserialize, Serialize};
 
 use super::TargetState;
-use crate::ids::{PoolName, StoreRevision, TargetId, ZoneName};
+use crate::{
+    clock::TimeSpan,
+    ids::{PoolName, StoreRevision, TargetId, ZoneName},
+};
 
 /// The record with which a target is registered.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -25,4 +28,7 @@
     pub started_at: Option<u64>,
     /// Revision of the record in the store.
     pub revision: StoreRevision,
+    /// Time for which the target stays cold, from when it wrote the record.
+    #[serde(default)]
+    pub cold_left: TimeSpan,
 }
--- a/crates/core/src/targets/target_registry.rs
+++ b/crates/core/src/targets/target_registry.rs
@@ -55,8 +55,8 @@
 
     /// Applies changes up to `revision`. While the connection to the store is not
     /// settled, removed records of ready targets only count as missing. Changes
-    /// of an earlier era are ignored. Returns whether anything but revisions has
-    /// changed.
+    /// of an earlier era are ignored. Returns whether anything but revisions and
+    /// coldness has changed.
     pub fn apply(
         &mut self,
         changes: Vec<RegistryChange>,
@@ -79,7 +79,7 @@
 
     /// Replaces all records by a listing as of `revision`, with removals as in
     /// [`Self::apply`]. A listing older than the known records is ignored. Returns
-    /// whether anything but revisions has changed.
+    /// whether anything but revisions and coldness has changed.
     pub fn replace(
         &mut self,
         records: Vec<TargetRecord>,
@@ -233,6 +233,7 @@
         target.is_missing = false;
         let is_same = TargetRecord {
             revision: target.record.revision,
+            cold_left: target.record.cold_left,
             ..record.clone()
         } == *target.record;
         target.record = Arc::new(record);
--- a/crates/core/tests/engine_fixture/mod.rs
+++ b/crates/core/tests/engine_fixture/mod.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use verbenahub_core::{
-    clock::ClockTime,
+    clock::{ClockTime, TimeSpan},
     engines::{EngineQuery, PromptPart, PromptProgress, PromptScheduler, PromptStep},
     ids::{EraNumber, PoolName, StoreRevision, TargetId, ZoneName},
     targets::{TargetRecord, TargetState},
@@ -29,6 +29,7 @@
         state: TargetState::Ready,
         started_at: Some(1),
         revision: StoreRevision::new(EraNumber::ZERO, 1),
+        cold_left: TimeSpan::ZERO,
     };
     (0..count).map(|number| Arc::new(record(number))).collect()
 }
--- a/crates/core/tests/gateway_targets.rs
+++ b/crates/core/tests/gateway_targets.rs
@@ -27,6 +27,7 @@
         state: TargetState::Ready,
         started_at: None,
         revision: StoreRevision::new(EraNumber::ZERO, 1),
+        cold_left: TimeSpan::ZERO,
     };
     (0..count).map(|number| Arc::new(record(number))).collect()
 }
--- a/crates/core/tests/permit_simulation.rs
+++ b/crates/core/tests/permit_simulation.rs
@@ -11,20 +11,28 @@
     clock::{ClockTime, TimeSpan},
     fleet::{FleetMember, FleetTable},
     ids::{IncarnationNumber, NodeId},
-    targets::{PermitDecision, PermitLedger, RequestLimit, TargetRecord},
+    targets::{
+        EffectiveLimit, OwnerTenure, PermitDecision, PermitLedger, RequestLimit, TargetRecord,
+    },
     units::RateLimit,
 };
 
 /// Period over which the platform counts requests at a target.
 const WINDOW_MS: u64 = 4_000;
+/// Period over which it counts them at a cold target.
+const COLD_WINDOW_MS: u64 = 1_000;
 /// Length of each run. Long against the window.
 const RUN_MS: u64 = 40_000;
 /// Time until all nodes know that the owner has changed.
 const DETECTION_MS: u64 = 1_000;
+/// As [`DETECTION_MS`], with gossip that takes three rounds.
+const SLOW_DETECTION_MS: u64 = 3_000;
 /// Time after which a node asks an owner again that did not answer.
 const OWNER_BACKOFF: TimeSpan = TimeSpan::from_millis(500);
 /// Rounds of gossip after which a node is established.
 const ESTABLISHED_ROUNDS: u64 = 20;
+/// Runs of each case of cold targets.
+const SEEDS: u64 = 3;
 
 /// What happens to the fleet during a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -48,6 +56,7 @@
     fleet: FleetTable,
     owned: PermitLedger,
     share: PermitLedger,
+    tenure: OwnerTenure,
     closed_until: ClockTime,
 }
 
@@ -55,6 +64,7 @@
     nodes: Vec<Node>,
     record: Arc<TargetRecord>,
     limit: RequestLimit,
+    is_cold: bool,
     trouble: Trouble,
     rng: Rng,
     sends: VecDeque<u64>,
@@ -86,6 +96,7 @@
                 fleet,
                 owned: PermitLedger::default(),
                 share: PermitLedger::for_shares(),
+                tenure: OwnerTenure::default(),
                 closed_until: ClockTime::ZERO,
             }
         });
@@ -93,6 +104,7 @@
             nodes: nodes.collect(),
             record: record("t1", Some(1)),
             limit: limit.to_string().parse().expect("a valid limit"),
+            is_cold: false,
             trouble,
             rng: Rng::with_seed(seed),
             sends: VecDeque::new(),
@@ -114,11 +126,12 @@
         let count = self.nodes.len();
         match self.trouble {
             Trouble::OwnerReplaced => {
-                let lag = if node.is_multiple_of(2) {
-                    0
+                let detection = if self.is_cold {
+                    SLOW_DETECTION_MS
                 } else {
                     DETECTION_MS
                 };
+                let lag = if node.is_multiple_of(2) { 0 } else { detection };
                 let change = now.saturating_sub(lag) / 5_000;
                 usize::try_from(change).unwrap_or(0) % count
             }
@@ -143,6 +156,25 @@
         !is_lost && self.is_connected(owner, node, now)
     }
 
+    /// The limit, by what the target has named or because it is cold.
+    fn effective_limit(&self) -> EffectiveLimit {
+        let limit = Some((self.limit, TimeSpan::from_secs(1)));
+        let (named, cold) = if self.is_cold {
+            (None, limit)
+        } else {
+            (limit, None)
+        };
+        EffectiveLimit::combine(named, cold).expect("a limit")
+    }
+
+    /// Lets a node notice whether the owner has changed.
+    fn observe_owner(&mut self, node: usize, now: u64) {
+        let owner = member(self.owner(node, now), 0).node;
+        let node = &mut self.nodes[node];
+        let is_connected = node.fleet.grant_share(at(now)) >= 1.0;
+        node.tenure.observe(&[owner], is_connected, at(now));
+    }
+
     /// Plays a request of a node.
     fn request(&mut self, node: usize, now: u64) {
         let time = at(now);
@@ -158,14 +190,17 @@
             let record = Arc::clone(&self.record);
             self.nodes[owner].owned.forget(&record);
         }
+        let limited = self.effective_limit();
         let decision = if is_granted_by_owner && is_owner {
+            self.observe_owner(owner, now);
             let granting = &mut self.nodes[owner];
-            let rate = self.limit.pace(granting.fleet.grant_share(time));
-            granting.owned.acquire(&self.record, rate, patience, time)
+            let share = granting.fleet.grant_share(time);
+            let pace = limited.owner_pace(share, granting.tenure.is_disturbed(time));
+            granting.owned.acquire(&self.record, pace, patience, time)
         } else {
             let asking = &mut self.nodes[node];
-            let rate = self.limit.pace(asking.fleet.equal_share());
-            asking.share.acquire(&self.record, rate, patience, time)
+            let pace = limited.share_pace(asking.fleet.equal_share(), self.rng.f64());
+            asking.share.acquire(&self.record, pace, patience, time)
         };
         match decision {
             PermitDecision::Granted { .. } => self.record_send(now),
@@ -183,10 +218,15 @@
     fn record_send(&mut self, now: u64) {
         self.total += 1;
         self.sends.push_back(now);
+        let window = if self.is_cold {
+            COLD_WINDOW_MS
+        } else {
+            WINDOW_MS
+        };
         while self
             .sends
             .front()
-            .is_some_and(|first| first + WINDOW_MS <= now)
+            .is_some_and(|first| first + window <= now)
         {
             self.sends.pop_front();
         }
@@ -202,6 +242,7 @@
                 .map(|other| member(other, heartbeat))
                 .collect();
             self.nodes[node].fleet.merge(heard, at(now));
+            self.observe_owner(node, now);
         }
     }
 
@@ -266,6 +307,33 @@
     }
 }
 
+/// Guards against owners that both grant a whole limit while nodes disagree on the
+/// owner, and against shares that many nodes use at the same moment.
+#[test]
+fn cold_target_gets_no_more_than_it_tolerates_in_any_second() {
+    for nodes in [9, 30, 86] {
+        for limit in [15.0, 22.0] {
+            for trouble in TROUBLES {
+                let most = (0..SEEDS).map(|seed| {
+                    let mut played = Simulation::new(nodes, limit, trouble, seed);
+                    played.is_cold = true;
+                    let played = played.run(4.0);
+                    (played.most_in_window, played.total)
+                });
+                let (most, total) = most.max().expect("a run");
+                let allowed = 1.5 * limit + 5.0;
+                println!(
+                    "cold, {nodes} nodes, limit {limit}, {trouble:?}: {most} of {allowed} in a second, {total} in all"
+                );
+                assert!(
+                    number(most) <= allowed,
+                    "{nodes} nodes, limit {limit}, {trouble:?}: {most} requests in a second"
+                );
+            }
+        }
+    }
+}
+
 #[test]
 fn shares_that_were_not_used_for_long_grant_no_burst() {
     let rate = RateLimit::per_second(1.0).expect("a valid rate");
--- a/crates/core/tests/target_fixture/mod.rs
+++ b/crates/core/tests/target_fixture/mod.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use verbenahub_core::{
-    clock::ClockTime,
+    clock::{ClockTime, TimeSpan},
     ids::{EraNumber, PoolName, StoreRevision, TargetId, ZoneName},
     targets::{TargetRecord, TargetState},
 };
@@ -22,5 +22,6 @@
         state: TargetState::Ready,
         started_at,
         revision: StoreRevision::new(EraNumber::ZERO, 1),
+        cold_left: TimeSpan::ZERO,
     })
 }
--- a/crates/core/tests/target_registry.rs
+++ b/crates/core/tests/target_registry.rs
@@ -28,6 +28,7 @@
         state: TargetState::Ready,
         started_at: Some(1),
         revision: revision(number),
+        cold_left: TimeSpan::ZERO,
     }
 }
 
--- a/crates/gateway/src/front/target_sender.rs
+++ b/crates/gateway/src/front/target_sender.rs
@@ -66,6 +66,8 @@
     crashes: usize,
     /// Engine that the choosing node assigned to the prompt, if any.
     assignment: Option<EngineAssignment>,
+    /// Whether a chosen target had no permit left.
+    is_over_limit: bool,
 }
 
 impl<'a> TargetSender<'a> {
@@ -78,6 +80,7 @@
             results: Vec::new(),
             crashes: 0,
             assignment: None,
+            is_over_limit: false,
         }
     }
 
@@ -119,8 +122,7 @@
             return false;
         }
         let mut candidates = self.shared.ready_targets(&self.request.service);
-        let (limits, now) = (self.shared.limits.borrow(), self.shared.now());
-        candidates.retain(|record| limits.limit_of(record, now).is_none());
+        candidates.retain(|record| self.shared.request_limit(record).is_none());
         let loads = self.shared.loads.borrow();
         loads.choose(&candidates, &self.choice_ask()).is_some()
     }
@@ -154,13 +156,17 @@
             let Some(record) = self.choose_target().await else {
                 return Err(self.no_target_response());
             };
-            let Ok(permit) = self.acquire_permit(&record).await else {
-                self.end_assignment(PromptStep::Ended);
-                denials += 1;
-                if denials >= MAX_DENIALS {
-                    return Err(self.no_target_response());
+            let permit = match self.acquire_permit(&record).await {
+                Ok(permit) => permit,
+                Err(reason) => {
+                    self.end_assignment(PromptStep::Ended);
+                    self.is_over_limit |= matches!(reason, PermitDenied::OverLimit { .. });
+                    denials += 1;
+                    if denials >= MAX_DENIALS {
+                        return Err(self.no_target_response());
+                    }
+                    continue;
                 }
-                continue;
             };
             if let Err(response) = self.check_quarantine() {
                 self.end_assignment(PromptStep::Ended);
@@ -476,7 +482,7 @@
         let Some((key, ask)) = self.engine_ask() else {
             return self.choose_locally();
         };
-        let candidates = self.shared.ready_targets(&self.request.service);
+        let candidates = self.candidates();
         let engines = &self.shared.engines;
         self.assignment = engines.choose(self.shared, &key, &ask, &candidates).await;
         match &self.assignment {
@@ -495,21 +501,44 @@
         let key = shared
             .last()
             .map_or_else(|| request.id.clone(), |part| format!("{:016x}", part.hash));
-        let candidates = self.shared.ready_targets(&request.service);
+        let ready = self.shared.ready_targets(&request.service);
+        let candidates = self.candidates();
+        let left_out = ready.iter().filter(|record| !candidates.contains(record));
         let loads = self.shared.loads.borrow();
+        let mut avoid = loads.unusable(&candidates, &self.choice_ask());
+        avoid.extend(left_out.map(|record| record.id.clone()));
         let ask = EngineQuery {
             service: request.service.clone(),
             request: request.id.clone(),
             shared: shared.to_vec(),
             own: own.tokens,
             results: self.results.clone(),
-            avoid: loads.unusable(&candidates, &self.choice_ask()),
+            avoid,
         };
         Some((key, ask))
     }
 
+    /// Targets among which the request's is chosen. Once a target had no permit left,
+    /// those without a limit, if one of them is usable: when all targets of a zone
+    /// start, idle and cold, the request would be denied by one after the other.
+    fn candidates(&self) -> Vec<Arc<TargetRecord>> {
+        let ready = self.shared.ready_targets(&self.request.service);
+        if !self.is_over_limit {
+            return ready;
+        }
+        let unlimited = ready.iter();
+        let unlimited = unlimited.filter(|record| self.shared.request_limit(record).is_none());
+        let unlimited: Vec<_> = unlimited.cloned().collect();
+        let loads = self.shared.loads.borrow();
+        if loads.choose(&unlimited, &self.choice_ask()).is_some() {
+            unlimited
+        } else {
+            ready
+        }
+    }
+
     fn choose_locally(&self) -> Option<Arc<TargetRecord>> {
-        let candidates = self.shared.ready_targets(&self.request.service);
+        let candidates = self.candidates();
         let ask = self.choice_ask();
         self.shared.loads.borrow().choose(&candidates, &ask)
     }
--- a/crates/gateway/src/peers/gossip_driver.rs
+++ b/crates/gateway/src/peers/gossip_driver.rs
@@ -65,6 +65,8 @@
                 self.shared.update_retry_reserve(members.len());
             }
             self.shared.crash_reporter.redeliver(&self.shared);
+            self.shared.permits.observe_all_owners(&self.shared);
+            self.shared.publish_coldness("elapsed");
             if let Some((node, address)) = self.next_peer() {
                 self.exchange(node, address).await;
             }
--- a/crates/gateway/src/peers/gossip_message.rs
+++ b/crates/gateway/src/peers/gossip_message.rs
@@ -191,6 +191,7 @@
         }
         let count = registry.len();
         drop(registry);
+        state.record_coldness(source);
         if is_changed {
             slog::info!(state.log, "targets: Changed.";
                 "source" => "peer", "peer" => source, "revision" => %revision,
--- a/crates/gateway/src/process/gateway_metrics.rs
+++ b/crates/gateway/src/process/gateway_metrics.rs
@@ -37,6 +37,8 @@
     pub permits: IntCounterVec,
     /// Zones that the operator has evacuated.
     pub evacuated_zones: IntGauge,
+    /// Targets that are cold by what this node knows.
+    pub cold_targets: IntGauge,
     /// Targets that have named a limit.
     pub limited_targets: IntGauge,
     /// Parts of prompts that are quarantined at this node.
@@ -126,6 +128,7 @@
                 "evacuated_zones",
                 "Zones that the operator has evacuated",
             )?,
+            cold_targets: gauge(group, "cold_targets", "Targets that are cold")?,
             limited_targets: gauge(group, "limited_targets", "Targets that have named a limit")?,
             quarantined_parts: gauge(
                 group,
--- a/crates/gateway/src/process/gateway_state.rs
+++ b/crates/gateway/src/process/gateway_state.rs
@@ -17,8 +17,9 @@
     routes::{FirstAttemptEstimator, RouteConfig, RouteSpec},
     settings::GatewayProfile,
     targets::{
-        EvacuatedZones, LeavingNotice, LeavingTargets, LimitNotice, RequestLimit, ReturnSchedule,
-        StoreConnectivity, TargetLimits, TargetLoads, TargetRecord, TargetRegistry, ZoneNotice,
+        ColdNotice, ColdTargets, EffectiveLimit, EvacuatedZones, LeavingNotice, LeavingTargets,
+        LimitNotice, RequestLimit, ReturnSchedule, StoreConnectivity, TargetLimits, TargetLoads,
+        TargetRecord, TargetRegistry, ZoneNotice,
     },
     units::RateLimit,
 };
@@ -63,6 +64,8 @@
     pub zones: RefCell<EvacuatedZones>,
     /// Limits on requests that targets have named in responses.
     pub limits: RefCell<TargetLimits>,
+    /// Until when targets are cold.
+    pub cold_targets: RefCell<ColdTargets>,
     /// Obtains and grants permits for calls to limited targets.
     pub permits: PermitClient,
     /// Parts of prompts that crash engines, and parts that were answered.
@@ -157,6 +160,7 @@
             leaving: RefCell::default(),
             zones: RefCell::default(),
             limits: RefCell::default(),
+            cold_targets: RefCell::default(),
             permits: PermitClient::default(),
             quarantine: PromptQuarantine::new(&profile.node),
             crash_reporter: CrashReporter::default(),
@@ -241,6 +245,9 @@
         self.limits
             .borrow_mut()
             .retain(|id| registry.get(id).is_some());
+        self.cold_targets
+            .borrow_mut()
+            .retain(|id| registry.get(id).is_some());
         self.permits.retain(|id| registry.get(id).is_some());
         self.update_limited_targets();
         self.fleet.borrow_mut().set_active(self.is_ready());
@@ -387,15 +394,86 @@
         }
     }
 
+    /// The limit on requests to the run that a record describes: the one that it has
+    /// named or, while it is cold, that of cold targets of its service, whichever is
+    /// lower.
+    #[must_use]
+    pub fn request_limit(&self, record: &TargetRecord) -> Option<EffectiveLimit> {
+        let now = self.now();
+        let named = self.limits.borrow().limit_of(record, now);
+        let left = self.cold_targets.borrow().cold_left(record, now);
+        let cold = if left.is_zero() {
+            None
+        } else {
+            let config = self.config.borrow();
+            let config = config.as_ref();
+            let limit = config.and_then(|config| config.cold_limit(&record.service));
+            limit.map(|limit| (limit, left))
+        };
+        EffectiveLimit::combine(named, cold)
+    }
+
+    /// Whether any target may have a limit.
+    #[must_use]
+    pub fn has_limited_targets(&self) -> bool {
+        self.limits.borrow().limited_count() > 0
+            || self.cold_targets.borrow().cold_count(self.now()) > 0
+    }
+
+    /// Takes the coldness that registered records state into account, after the
+    /// registry may have changed. Other nodes that wait for changes are answered.
+    pub fn record_coldness(&self, source: &str) {
+        let now = self.now();
+        let mut cold_targets = self.cold_targets.borrow_mut();
+        let mut is_changed = false;
+        for record in self.registry.borrow().records() {
+            is_changed |= cold_targets.record(record, now);
+        }
+        drop(cold_targets);
+        self.publish_coldness(source);
+        if is_changed {
+            self.changed.notify(usize::MAX);
+        }
+    }
+
+    /// Takes into account what another node knows of the coldness of a target.
+    pub fn merge_coldness(&self, record: &TargetRecord, notice: ColdNotice) {
+        let now = self.now();
+        let mut cold_targets = self.cold_targets.borrow_mut();
+        cold_targets.merge(record, notice, now);
+        drop(cold_targets);
+        self.publish_coldness("permit query");
+    }
+
+    /// Logs and counts the targets that have become cold or warm since the last call.
+    /// `source` is logged.
+    pub fn publish_coldness(&self, source: &str) {
+        let now = self.now();
+        let mut cold_targets = self.cold_targets.borrow_mut();
+        let changes = cold_targets.take_changes(now);
+        if changes.is_empty() {
+            return;
+        }
+        for change in &changes {
+            slog::info!(self.log, "targets: Coldness changed.";
+                "target" => %change.target, "left" => %change.left,
+                "cold" => !change.left.is_zero(), "source" => source.to_owned());
+            if change.left.is_zero() {
+                self.loads.borrow_mut().clear_pace(&change.target);
+            }
+        }
+        let count = i64::try_from(cold_targets.cold_count(now)).unwrap_or(i64::MAX);
+        self.metrics.cold_targets.set(count);
+    }
+
     /// This node's part of the rate of requests that the targets of a service accept
-    /// together. `None` unless all of them have named limits.
+    /// together. `None` unless all of them have limits.
     #[must_use]
     pub fn limited_rate(&self, candidates: &[Arc<TargetRecord>]) -> Option<RateLimit> {
         let now = self.now();
-        let limits = self.limits.borrow();
         let rates = candidates.iter().map(|record| {
-            let (limit, _) = limits.limit_of(record, now)?;
-            Some(limit.rate().as_per_second())
+            let limited = self.request_limit(record)?;
+            Some(limited.limit.rate().as_per_second())
         });
         let total: f64 = rates.sum::<Option<f64>>()?;
         let nodes = u32::try_from(self.fleet.borrow().live_count(now)).unwrap_or(u32::MAX);
@@ -443,13 +521,24 @@
         if notices.is_empty() {
             return;
         }
-        let changes = self.zones.borrow_mut().merge(notices);
+        let mut zones = self.zones.borrow_mut();
+        // Also evacuations of whose start this node did not hear.
+        let ends = notices
+            .iter()
+            .filter(|notice| !notice.is_evacuated && zones.is_news(notice));
+        let ends: Vec<ZoneNotice> = ends.cloned().collect();
+        let changes = zones.merge(notices);
+        drop(zones);
+        self.assume_coldness(&ends);
         self.publish_evacuations(&changes, source);
     }
 
     /// Applies a listing of the evacuated zones as of `revision`.
     pub fn replace_evacuations(&self, listed: Vec<ZoneNotice>, revision: StoreRevision) {
         let changes = self.zones.borrow_mut().replace(listed, revision);
+        let ends = changes.iter().filter(|change| !change.is_evacuated);
+        let ends: Vec<ZoneNotice> = ends.cloned().collect();
+        self.assume_coldness(&ends);
         self.publish_evacuations(&changes, "listing");
     }
 
@@ -467,6 +556,25 @@
         self.publish_changes();
     }
 
+    /// Counts the targets of zones whose evacuation has ended as cold: for lack of
+    /// requests they may have become so.
+    fn assume_coldness(&self, ends: &[ZoneNotice]) {
+        let Some(config) = self.config() else { return };
+        let now = self.now();
+        let registry = self.registry.borrow();
+        let mut cold_targets = self.cold_targets.borrow_mut();
+        for end in ends {
+            for record in registry.records().filter(|record| record.zone == end.zone) {
+                let spec = config.services.get(&record.service);
+                if let Some(spec) = spec.filter(|spec| !spec.cold_start.is_zero()) {
+                    cold_targets.assume(record, spec.cold_start, end.revision, now);
+                }
+            }
+        }
+        drop(cold_targets);
+        self.publish_coldness("evacuation");
+    }
+
     /// Merges notices of other nodes about targets that are leaving. `source` is
     /// the address of the peer, for the log.
     pub fn merge_leaving(&self, notices: Vec<LeavingNotice>, source: &str) {
--- a/crates/gateway/src/staging/stage_collector.rs
+++ b/crates/gateway/src/staging/stage_collector.rs
@@ -345,10 +345,10 @@
         self.queue.borrow_mut().set_backlogged(backlogged);
     }
 
-    /// Tells the queue how often it may call the targets that have named limits.
+    /// Tells the queue how often it may call the targets that have limits.
     fn update_paces(&self, shared: &Shared, now: ClockTime) {
         let mut paces = BTreeMap::new();
-        if shared.limits.borrow().limited_count() > 0 {
+        if shared.has_limited_targets() {
             for record in shared.ready_targets(&self.service) {
                 if let Some((wait, rate)) = shared.permits.owned_wait(shared, &record) {
                     let open_at = now + wait;
--- a/crates/gateway/src/store/store_reader.rs
+++ b/crates/gateway/src/store/store_reader.rs
@@ -138,6 +138,7 @@
         let mut registry = self.shared.registry.borrow_mut();
         let is_changed = registry.replace(records, revision, is_settled);
         drop(registry);
+        self.shared.record_coldness("listing");
         self.publish_target_changes(is_changed, "listing");
         Ok(revision)
     }
@@ -175,6 +176,7 @@
         let mut registry = self.shared.registry.borrow_mut();
         let is_changed = registry.apply(changes, revision, is_settled);
         drop(registry);
+        self.shared.record_coldness("watch");
         self.publish_target_changes(is_changed, "watch");
     }
 
--- a/crates/gateway/src/targets/permit_client.rs
+++ b/crates/gateway/src/targets/permit_client.rs
@@ -3,8 +3,11 @@
 use smol::Timer;
 use verbenahub_core::{
     clock::{ClockTime, TimeSpan},
-    ids::{NodeId, TargetId},
-    targets::{PermitDecision, PermitLedger, RequestLimit, TargetRecord},
+    ids::{NodeId, PoolName, TargetId},
+    targets::{
+        EffectiveLimit, LimitNotice, OwnerTenure, PermitDecision, PermitLedger, PermitPace,
+        TargetRecord,
+    },
     units::RateLimit,
 };
 
@@ -18,12 +21,14 @@
 const ANSWER_TIMEOUT: TimeSpan = TimeSpan::from_millis(50);
 /// How long a node that did not answer isn't asked again.
 const UNRESPONSIVE_BACKOFF: TimeSpan = TimeSpan::from_millis(500);
+/// Delay after its time within which a permit for a cold target is used.
+const MAX_PERMIT_DELAY: TimeSpan = TimeSpan::from_millis(150);
 
 /// Obtains permits for calls to targets, and grants them for the targets that this
 /// node owns.
 ///
 /// The owner of a target among the nodes grants the permits for it. Nodes ask it
-/// only for targets that have named a limit. A node whose owner doesn't answer
+/// only for targets that have named a limit or are cold. A node whose owner doesn't answer
 /// uses its equal share of the limit.
 #[derive(Debug)]
 pub struct PermitClient {
@@ -33,6 +38,8 @@
     shares: RefCell<PermitLedger>,
     /// Nodes that did not answer, and until when they aren't asked.
     unresponsive: RefCell<HashMap<NodeId, ClockTime>>,
+    /// For how long the owners of services with cold targets have been the same.
+    tenures: RefCell<HashMap<PoolName, OwnerTenure>>,
 }
 
 impl Default for PermitClient {
@@ -41,6 +48,7 @@
             owned: RefCell::default(),
             shares: RefCell::new(PermitLedger::for_shares()),
             unresponsive: RefCell::default(),
+            tenures: RefCell::default(),
         }
     }
 }
@@ -60,11 +68,11 @@
         request: PermitRequest<'_>,
     ) -> Result<SendPermit, PermitDenied> {
         let record = request.record;
-        let limited = shared.limits.borrow().limit_of(record, shared.now());
-        let Some((limit, age)) = limited else {
+        let Some(limited) = shared.request_limit(record) else {
             return Self::issue(shared, &request);
         };
-        let (decision, source) = self.decide(shared, &request, limit).await;
+        let asked_at = shared.now();
+        let (decision, source) = self.decide(shared, &request, limited).await;
         let (outcome, wait) = match decision {
             PermitDecision::Granted { wait } => ("granted", wait),
             PermitDecision::Denied { retry_after } => ("denied", retry_after),
@@ -76,16 +84,26 @@
         slog::info!(shared.log, "targets: Permit decided.";
             "target" => %record.id, "service" => %record.service,
             "purpose" => request.purpose.label(), "request" => request.request.map(str::to_owned),
-            "limit" => %limit, "limit_age" => %age, "source" => source, "outcome" => outcome,
+            "limit" => %limited.limit,
+            "limit_age" => limited.named_age.map(|age| age.to_string()),
+            "cold_left" => %limited.cold_left, "source" => source, "outcome" => outcome,
             "wait" => %wait);
         match decision {
             PermitDecision::Granted { wait } => {
                 if !wait.is_zero() {
                     Self::wait_for_turn(shared, &request, wait).await;
                 }
+                // A process that stood still would use its permits all at once.
+                let is_late = shared.now().since(asked_at) > wait + MAX_PERMIT_DELAY;
+                if is_late && !limited.cold_left.is_zero() {
+                    return Err(PermitDenied::OverLimit {
+                        retry_after: TimeSpan::ZERO,
+                    });
+                }
                 Self::issue(shared, &request)
             }
             PermitDecision::Denied { retry_after } => {
+                let retry_after = limited.retry_after(retry_after);
                 let until = shared.now() + retry_after;
                 shared.loads.borrow_mut().set_pace(record, until);
                 Err(PermitDenied::OverLimit { retry_after })
@@ -132,17 +150,21 @@
         let Some(record) = registered.filter(|record| record.started_at == started_at) else {
             return PermitReply::NotOwner;
         };
-        shared.merge_limits(vec![query.notice], "permit query");
+        if query.notice.is_stated() {
+            shared.merge_limits(vec![query.notice], "permit query");
+        }
+        if let Some(notice) = query.cold {
+            shared.merge_coldness(&record, notice);
+        }
         if Self::owner(shared, &record).as_ref() != Some(&shared.profile.node) {
             self.owned.borrow_mut().forget(&record);
             return PermitReply::NotOwner;
         }
-        let limited = shared.limits.borrow().limit_of(&record, shared.now());
-        let decision = limited.map_or(
+        let decision = shared.request_limit(&record).map_or(
             PermitDecision::Granted {
                 wait: TimeSpan::ZERO,
             },
-            |(limit, _)| self.grant(shared, &record, limit, query.patience),
+            |limited| self.grant(shared, &record, limited, query.patience),
         );
         PermitReply::Decided(decision)
     }
@@ -156,14 +178,13 @@
         shared: &Shared,
         record: &TargetRecord,
     ) -> Option<(TimeSpan, RateLimit)> {
-        let now = shared.now();
-        let (limit, _) = shared.limits.borrow().limit_of(record, now)?;
+        let limited = shared.request_limit(record)?;
         if Self::owner(shared, record)? != shared.profile.node {
             return None;
         }
-        let rate = owned_rate(shared, limit);
-        let wait = self.owned.borrow_mut().wait(record, rate, now);
-        Some((wait, rate))
+        let pace = self.owned_pace(shared, record, limited);
+        let wait = self.owned.borrow_mut().wait(record, pace, shared.now());
+        Some((wait, pace.rate()))
     }
 
     /// Removes the targets that are unknown to `is_known`.
@@ -179,13 +200,13 @@
         &self,
         shared: &Shared,
         request: &PermitRequest<'_>,
-        limit: RequestLimit,
+        limited: EffectiveLimit,
     ) -> (PermitDecision, String) {
         let record = request.record;
         let owner = Self::owner(shared, record);
         if let Some(owner) = owner {
             if owner == shared.profile.node {
-                let decision = self.grant(shared, record, limit, request.patience);
+                let decision = self.grant(shared, record, limited, request.patience);
                 return (decision, "own".to_owned());
             }
             if let Some(decision) = self.ask_owner(shared, &owner, request).await {
@@ -193,9 +214,9 @@
             }
         }
         let share = shared.fleet.borrow().equal_share();
-        let rate = limit.pace(share);
+        let pace = limited.share_pace(share, shared.random_fraction());
         let mut ledger = self.shares.borrow_mut();
-        let mut decision = ledger.acquire(record, rate, request.patience, shared.now());
+        let mut decision = ledger.acquire(record, pace, request.patience, shared.now());
         if let PermitDecision::Denied { retry_after } = &mut decision {
             // The owner may answer long before a small share grants a permit.
             *retry_after = (*retry_after).min(UNRESPONSIVE_BACKOFF);
@@ -214,11 +235,15 @@
         if unresponsive.is_some_and(|until| until > now) {
             return None;
         }
-        let notice = shared.limits.borrow().notice_of(request.record, now)?;
+        let record = request.record;
+        let notice = shared.limits.borrow().notice_of(record, now);
+        let notice = notice.unwrap_or_else(|| LimitNotice::unstated(record));
+        let cold = shared.cold_targets.borrow().notice_of(record, now);
         let address = shared.fleet.borrow().address_of(owner)?;
         let query = PermitQuery {
             notice,
             patience: request.patience,
+            cold,
         };
         let call = shared
             .peers
@@ -245,12 +270,49 @@
         &self,
         shared: &Shared,
         record: &TargetRecord,
-        limit: RequestLimit,
+        limited: EffectiveLimit,
         patience: TimeSpan,
     ) -> PermitDecision {
-        let rate = owned_rate(shared, limit);
+        let pace = self.owned_pace(shared, record, limited);
         let mut owned = self.owned.borrow_mut();
-        owned.acquire(record, rate, patience, shared.now())
+        owned.acquire(record, pace, patience, shared.now())
+    }
+
+    /// The pace at which this node grants permits for a target that it owns.
+    fn owned_pace(
+        &self,
+        shared: &Shared,
+        record: &TargetRecord,
+        limited: EffectiveLimit,
+    ) -> PermitPace {
+        let now = shared.now();
+        let share = shared.fleet.borrow().grant_share(now);
+        let has_taken_over =
+            !limited.cold_left.is_zero() && self.observe_owners(shared, &record.service);
+        limited.owner_pace(share, has_taken_over)
+    }
+
+    /// Observes the owners of the services that have cold targets, so that a change is
+    /// noticed while none is cold.
+    pub fn observe_all_owners(&self, shared: &Shared) {
+        let Some(config) = shared.config() else {
+            return;
+        };
+        for service in config.cold_limited_services() {
+            self.observe_owners(shared, service);
+        }
+    }
+
+    /// Observes the owners of a service. Returns whether another node may still take
+    /// itself for one.
+    fn observe_owners(&self, shared: &Shared, service: &PoolName) -> bool {
+        let now = shared.now();
+        let shards = shared.stage_client.shards(shared, service);
+        let is_connected = shared.fleet.borrow().grant_share(now) >= 1.0;
+        let mut tenures = self.tenures.borrow_mut();
+        let tenure = tenures.entry(service.clone()).or_default();
+        tenure.observe(shards.owners(), is_connected, now);
+        tenure.is_disturbed(now)
     }
 
     fn owner(shared: &Shared, record: &TargetRecord) -> Option<NodeId> {
@@ -259,9 +321,3 @@
         owner.or_else(|| shards.owners().first()).cloned()
     }
 }
-
-/// The rate at which the owner of a target grants permits.
-fn owned_rate(shared: &Shared, limit: RequestLimit) -> RateLimit {
-    let share = shared.fleet.borrow().grant_share(shared.now());
-    limit.pace(share)
-}
--- a/crates/gateway/src/targets/target_exchange.rs
+++ b/crates/gateway/src/targets/target_exchange.rs
@@ -366,10 +366,9 @@
     }
 }
 
-/// Logs and counts a call to a target that has named a limit.
+/// Logs and counts a call to a target that has a limit.
 fn log_limited_send(shared: &Shared, record: &TargetRecord, call: &TargetCall<'_>) {
-    let limited = shared.limits.borrow().limit_of(record, shared.now());
-    let Some((limit, age)) = limited else {
+    let Some(limited) = shared.request_limit(record) else {
         return;
     };
     let purpose = call.purpose.label();
@@ -379,7 +378,8 @@
         .inc();
     slog::info!(shared.log, "targets: Sent to a limited target.";
         "target" => %record.id, "service" => %record.service, "purpose" => purpose,
-        "request" => call.request.map(str::to_owned), "limit" => %limit, "limit_age" => %age);
+        "request" => call.request.map(str::to_owned), "limit" => %limited.limit, "cold_left" => %limited.cold_left,
+        "limit_age" => limited.named_age.map(|age| age.to_string()));
 }
 
 /// Records the limit that a response names. Only complete work shows that a limit
