Test the decoding and passing on of coldness

Nothing checked that coldness is decoded, that records of nodes of the previous version decode, or that the chooser of engines keeps to the limit. The test over processes now sends prompts, so one node chooses the engines. Callers that are rejected since all targets are cold are told a time not much after the first is warm. Replies without targets no longer look through the registry for coldness.

--- a/crates/core/tests/permit_simulation.rs
+++ b/crates/core/tests/permit_simulation.rs
@@ -198,8 +198,10 @@
             let pace = limited.owner_pace(share, granting.tenure.is_disturbed(time));
             granting.owned.acquire(&self.record, pace, patience, time)
         } else {
+            // Drawn for cold targets only, which alone use it.
+            let phase = if self.is_cold { self.rng.f64() } else { 0.0 };
             let asking = &mut self.nodes[node];
-            let pace = limited.share_pace(asking.fleet.equal_share(), self.rng.f64());
+            let pace = limited.share_pace(asking.fleet.equal_share(), phase);
             asking.share.acquire(&self.record, pace, patience, time)
         };
         match decision {
--- a/crates/core/tests/target_registry.rs
+++ b/crates/core/tests/target_registry.rs
@@ -55,6 +55,40 @@
     registry
 }
 
+/// Guards against a change of coldness that other nodes don't hear of, against one that
+/// disturbs what does not depend on it, and against records of nodes of the previous
+/// version, which lack the field.
+#[test]
+fn change_of_coldness_alone_is_passed_on_and_is_no_other_change() {
+    let mut registry = registry_with_two_targets();
+    let cold = TargetRecord {
+        cold_left: TimeSpan::from_secs(3),
+        ..record("a", 3)
+    };
+    let change = RegistryChange::Put(cold);
+    assert!(!registry.apply(vec![change.clone()], revision(3), SETTLED));
+    let changes = registry.changes_since(revision(2));
+    assert_eq!(changes, Some(vec![change]));
+    let text = serde_json::to_value(record("a", 1)).expect("an encoded record");
+    let mut fields: Vec<_> = [
+        "id",
+        "service",
+        "address",
+        "zone",
+        "slots",
+        "state",
+        "started_at",
+        "revision",
+    ]
+    .map(|field| text[field].clone())
+    .into();
+    let previous: TargetRecord = serde_json::from_value(fields.clone().into()).expect("a record");
+    assert_eq!(previous, record("a", 1));
+    fields.push(3_000.into());
+    let current: TargetRecord = serde_json::from_value(fields.into()).expect("a record");
+    assert_eq!(current.cold_left, TimeSpan::from_secs(3));
+}
+
 #[test]
 fn removal_takes_effect_at_once_while_the_connection_is_settled() {
     let mut registry = registry_with_two_targets();
--- a/crates/gateway/src/front/target_sender.rs
+++ b/crates/gateway/src/front/target_sender.rs
@@ -266,7 +266,20 @@
         let service = &self.request.service;
         let least = self.closed_for(&candidates).unwrap_or_default();
         let wait = self.shared.assign_return(service, rate, least, left);
-        GatewayResponse::over_limit(proof, wait)
+        GatewayResponse::over_limit(proof, self.until_warm(&candidates, wait))
+    }
+
+    /// Shortens the wait of a rejected caller for its turn at cold targets to not much
+    /// after the first of them is warm. From then on it takes many more requests.
+    fn until_warm(&self, candidates: &[Arc<TargetRecord>], wait: TimeSpan) -> TimeSpan {
+        let limits = candidates
+            .iter()
+            .filter_map(|record| self.shared.request_limit(record));
+        let warm_in = limits.map(|limit| limit.retry_after(wait)).min();
+        let warm_in = warm_in.unwrap_or(wait);
+        let later = wait.saturating_sub(warm_in).as_millis();
+        let most_extra = later * RETRY_JITTER_PERCENT / 100;
+        warm_in + TimeSpan::from_millis(self.shared.random() % (most_extra + 1))
     }
 
     /// Rejects a request whose targets are all closed for longer than it can wait
--- a/crates/gateway/src/peers/gossip_message.rs
+++ b/crates/gateway/src/peers/gossip_message.rs
@@ -180,6 +180,7 @@
         if self.targets.is_some() {
             state.detect_restore(revision, source);
         }
+        let has_targets = self.targets.is_some();
         let mut registry = state.registry.borrow_mut();
         let mut is_changed = match self.targets {
             Some(TargetUpdate::Changes(changes)) => registry.apply(changes, revision, is_settled),
@@ -191,7 +192,9 @@
         }
         let count = registry.len();
         drop(registry);
-        state.record_coldness(source);
+        if has_targets {
+            state.record_coldness(source);
+        }
         if is_changed {
             slog::info!(state.log, "targets: Changed.";
                 "source" => "peer", "peer" => source, "revision" => %revision,
--- a/crates/gateway/tests/cold_targets.rs
+++ b/crates/gateway/tests/cold_targets.rs
@@ -27,6 +27,8 @@
 const GATEWAYS: usize = 3;
 /// Callers that send one request after the other.
 const CALLERS: usize = 24;
+/// Number of requests in a row with the same shared part of their prompts.
+const PROMPT_GROUP: usize = 25;
 /// Pause of a caller between two requests. All together send about 1,000 a second.
 const CALLER_PAUSE: Duration = Duration::from_millis(20);
 /// Targets that start together, as the engines of a zone do.
@@ -144,6 +146,9 @@
                 let number = number.fetch_add(1, Ordering::Relaxed);
                 let front = self.gateways[number % self.gateways.len()].caller_address;
                 let request = CallerRequest::new("POST", path, &format!("request-{number}"));
+                // With a prompt, one node chooses the engines for all.
+                let parts = format!("part{}:400,own{number}:100", number / PROMPT_GROUP);
+                let request = request.with_header("Prompt-Prefix", &parts);
                 responses.push(request.fetch(front));
                 thread::sleep(CALLER_PAUSE);
             }
