Relay no stream without a signature or with an encoding

The check of both stood in read_response, which reads a response whole; start_stream and resume looked at the status and the type only.

response_defect decides by the head, and both ways use it. Streams start and resume through open_stream, which counts a defective one as a lost response: the request may have run, its connection is closed so that the target stops, and it is sent again only where the route allows it. Otherwise the caller gets 502.

Ruled out: relaying it without the end of the stream, since a caller acts on events as they come; and a "not run" response, since the engine has begun to answer.

--- a/crates/gateway/src/front/plain_flow.rs
+++ b/crates/gateway/src/front/plain_flow.rs
@@ -8,6 +8,7 @@
     target_sender::TargetSender,
 };
 use crate::{
+    http::ResponseHead,
     process::Shared,
     targets::{SendError, TargetExchange, within},
 };
@@ -72,16 +73,7 @@
     mut exchange: TargetExchange,
 ) -> Result<TargetResponse, SendError> {
     let body = exchange.collect().await?;
-    let fields = &exchange.head.headers;
-    let is_success = exchange.head.status < 300;
-    let defect = if is_success && fields.get(headers::RESPONSE_SIGNATURE).is_none() {
-        Some("no signature")
-    } else if fields.get("content-encoding").is_some() {
-        Some("encoded body")
-    } else {
-        None
-    };
-    if let Some(defect) = defect {
+    if let Some(defect) = response_defect(&exchange.head) {
         exchange.set_outcome(CallOutcome::Failed);
         return Err(SendError::Malformed(defect.to_owned()));
     }
@@ -95,3 +87,16 @@
         body,
     })
 }
+
+/// Why a response, by its head, is not the target's own, if it isn't: a success
+/// without a signature, or an encoded body.
+pub(super) fn response_defect(head: &ResponseHead) -> Option<&'static str> {
+    let is_success = head.status < 300;
+    if is_success && head.headers.get(headers::RESPONSE_SIGNATURE).is_none() {
+        Some("no signature")
+    } else if head.headers.get("content-encoding").is_some() {
+        Some("encoded body")
+    } else {
+        None
+    }
+}
--- a/crates/gateway/src/front/stream_flow.rs
+++ b/crates/gateway/src/front/stream_flow.rs
@@ -12,7 +12,7 @@
     ActiveRequest, EventSplitter, GatewayResponse, RequestEnd, TargetResponse,
     answer_phase::AnswerPhase,
     event_splitter::{event_id, has_fields},
-    plain_flow::read_response,
+    plain_flow::{read_response, response_defect},
     target_sender::TargetSender,
 };
 use crate::{
@@ -91,7 +91,7 @@
             Err(response) => return StreamStart::Gateway(response),
         }
     }
-    let exchange = match sender.open_exchange(None).await {
+    let exchange = match open_stream(&mut sender, None).await {
         Ok(exchange) => exchange,
         Err(response) => return StreamStart::Gateway(response),
     };
@@ -179,7 +179,7 @@
             return false;
         }
         let last = self.last_event.clone();
-        let Ok(exchange) = self.sender.open_exchange(last.as_deref()).await else {
+        let Ok(exchange) = open_stream(&mut self.sender, last.as_deref()).await else {
             return false;
         };
         if !is_event_stream(&exchange) {
@@ -361,6 +361,35 @@
     }
 }
 
+/// Sends the request to a target and waits for the head of a response that can be
+/// relayed. A stream that isn't the target's own counts as a lost response: the
+/// request may have run, and its connection is closed so that the target stops.
+///
+/// # Errors
+///
+/// Returns the gateway's own response if there is no such response.
+async fn open_stream(
+    sender: &mut TargetSender<'_>,
+    last_event: Option<&str>,
+) -> Result<TargetExchange, GatewayResponse> {
+    loop {
+        let exchange = sender.open_exchange(last_event).await?;
+        let defect = response_defect(&exchange.head).filter(|_| is_event_stream(&exchange));
+        let Some(defect) = defect else {
+            return Ok(exchange);
+        };
+        let (shared, request) = (sender.shared, sender.request);
+        slog::warn!(shared.log, "request: Stream of the target is unusable.";
+            "request" => &request.id, "target" => %exchange.record().id, "error" => defect);
+        drop(exchange);
+        sender.history.record_may_have_run();
+        sender.end_assignment(PromptStep::Failed);
+        if !sender.may_repeat().await {
+            return Err(sender.failure_response("target_failed"));
+        }
+    }
+}
+
 /// Runs the stages of a request before it is first sent. With `rerun_deadline`
 /// they run again, for a stream that is resumed and needs their results by then.
 async fn run_stages(
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -11,7 +11,8 @@
     register, route, start_targets, wait_for,
 };
 use verbenahub_platform_standin::{
-    EngineTarget, PlainTarget, RawCall, RawReply, ReplyStep, RunLog, StageTarget, StoreServer,
+    EngineTarget, PlainTarget, RawCall, RawReply, RawServer, ReplyStep, RunLog, StageTarget,
+    StoreServer,
 };
 
 const EVENTS: u32 = 6;
@@ -129,6 +130,8 @@
         "success of another type",
         "stream from its beginning",
         "no signature and no length",
+        "stream without a signature",
+        "encoded stream",
         "nothing",
     ] {
         let log = RunLog::default();
@@ -160,6 +163,9 @@
                 "no signature and no length" => {
                     RawReply::send("HTTP/1.1 500 Broken\r\n\r\nid: 3\n\n").then(ReplyStep::Close)
                 }
+                "stream without a signature" | "encoded stream" => {
+                    defective_stream(call, case).last_chunk()
+                }
                 _ => RawReply::send("").then(ReplyStep::Close),
             }
         });
@@ -171,6 +177,63 @@
     }
 }
 
+/// A stream that is not the target's own: its signature is missing, or its body is
+/// encoded.
+fn defective_stream(call: &RawCall, case: &str) -> RawReply {
+    let reply = EngineTarget::stream(call, EVENTS, PAUSE);
+    if case != "stream without a signature" {
+        return reply.with_header("Content-Encoding", "gzip");
+    }
+    let id = call.header("Attempt-Id").unwrap_or_default();
+    let headers = [("Attempt-Id", id), ("Content-Type", "text/event-stream")];
+    let mut unsigned = RawReply::chunked("200 OK", &headers);
+    unsigned.steps.extend(reply.steps.into_iter().skip(1));
+    unsigned
+}
+
+/// Guards against relaying a stream without a signature, or with an encoded body, as a
+/// success. The engine may have run the request, and must stop working on it.
+#[test]
+fn stream_without_signature_or_with_encoding_is_not_relayed() {
+    for case in ["stream without a signature", "encoded stream"] {
+        let fixture = StreamFixture::start(2, move |call: &RawCall| {
+            defective_stream(call, case).then(ReplyStep::Silence)
+        });
+        let answer = fixture.ask("/tell/a", "r1");
+        assert_eq!(answer.status, 502, "{case}");
+        assert_eq!(answer.header("Not-Executed"), None, "{case}");
+        assert_eq!(fixture.log.runs_of("r1").len(), 1, "{case}");
+        wait_for("the end of the work", || {
+            let servers = fixture.engines.iter().map(PlainTarget::server);
+            servers.map(RawServer::aborted_replies).sum::<usize>() == 1
+        });
+    }
+}
+
+/// Guards against giving up a request that may be repeated after such a response.
+#[test]
+fn stream_that_may_be_repeated_is_served_by_another_engine_after_a_defective_response() {
+    for case in ["stream without a signature", "encoded stream"] {
+        let log = RunLog::default();
+        let seen = log.clone();
+        let fixture = StreamFixture::start(2, move |call: &RawCall| {
+            seen.record("any", call);
+            if seen.runs().len() == 1 {
+                return defective_stream(call, case).last_chunk();
+            }
+            EngineTarget::stream(call, EVENTS, PAUSE).last_chunk()
+        });
+        let answer = fixture.ask("/resume/a", "r1");
+        assert_eq!((answer.status, answer.is_complete), (200, true), "{case}");
+        assert_eq!(answer.text(), events("r1", EVENTS), "{case}");
+        assert_eq!(answer.header("Response-Signature"), Some("3e1b.07"));
+        assert_eq!(answer.header("Content-Encoding"), None);
+        let runs = fixture.log.runs_of("r1");
+        assert_eq!(runs.len(), 2, "{case}");
+        assert_ne!(runs[0].target, runs[1].target, "{case}");
+    }
+}
+
 /// Streams without a length or chunks end with their connection.
 #[test]
 fn stream_without_a_length_is_complete_only_between_events() {
