Keep a stage connection only after its own response

Cause: TargetExchange put a connection back when a response had been read, before StageCallRun knew whether it was the call's own. Calls to stages name no request, so a copy can't be told by an identifier.

The connection of a stage call is held back, and reused only if the response holds results that are all new, one for each piece, or if the connection carried no other call before. Other responses on a used connection close it. A refusal there still sends its pieces back to the queue; if the call was running, its results reach nobody and expire at the target. This also covers copies with another number of pieces, copied errors, and answers without any result. ConnectionPool::close_idle is no longer used and removed.

--- a/crates/gateway/src/staging/stage_call_run.rs
+++ b/crates/gateway/src/staging/stage_call_run.rs
@@ -4,7 +4,7 @@
 use verbenahub_core::{
     clock::TimeSpan,
     policy::health::CallOutcome,
-    staging::{CallEnd, StageCall},
+    staging::{CallEnd, PieceEnd, StageCall},
     targets::TargetRecord,
 };
 use verbenahub_platform::{PieceRequest, decode_stage_run, encode_stage_run, headers, paths};
@@ -131,9 +131,12 @@
         };
         let begun = shared.now();
         let mut exchange = TargetExchange::begin(shared, permit, call).await?;
+        // Responses to calls name no request, so they can't be told apart by that.
+        exchange.hold_connection();
         let left = self.call.timeout.saturating_sub(shared.now().since(begun));
         let answer = within(left, exchange.collect()).await;
         if exchange.head.status != 200 {
+            self.release_unless_copy(shared, &mut exchange);
             if exchange.head.headers.get(headers::NOT_RUN).is_some() {
                 exchange.set_outcome(CallOutcome::Refused);
                 let closed_for = Self::backoff_remaining(shared, record);
@@ -150,15 +153,29 @@
             return Err(SendError::Malformed("wrong number of pieces".to_owned()));
         }
         if !self.queue.is_own_answer(&ends) {
-            // The connection delivered the answer to an earlier call, so the answer to
-            // this call has yet to arrive on it. It is idle again and must not be
-            // reused, so all idle connections to the target are closed.
-            shared.idle_connections.close_idle(&record.id);
             return Err(SendError::Malformed("answer to an earlier call".to_owned()));
         }
+        if ends.iter().any(|end| matches!(end, PieceEnd::Held(_))) {
+            exchange.release_connection();
+        } else {
+            self.release_unless_copy(shared, &mut exchange);
+        }
         Ok(CallEnd::Answered(ends))
     }
 
+    /// Keeps the connection of a response without results, unless the response may be
+    /// a late copy of an earlier one. The call may then be running: its connection is
+    /// closed, so that its results reach nobody, and its pieces are made again.
+    fn release_unless_copy(&self, shared: &Shared, exchange: &mut TargetExchange) {
+        if exchange.is_reused() {
+            slog::info!(shared.log, "stage: Closed a connection, the response may be a copy.";
+                "service" => %self.queue.service(), "call" => self.call.number.0,
+                "target" => %self.call.target, "status" => exchange.head.status);
+        } else {
+            exchange.release_connection();
+        }
+    }
+
     /// Time for which the target still accepts no calls, if it asked for one.
     fn backoff_remaining(shared: &Shared, record: &TargetRecord) -> Option<TimeSpan> {
         let backoff = shared
--- a/crates/gateway/src/targets/connection_pool.rs
+++ b/crates/gateway/src/targets/connection_pool.rs
@@ -70,11 +70,6 @@
         self.idle.borrow_mut().retain(|target, _| is_known(target));
     }
 
-    /// Closes the idle connections to a target.
-    pub fn close_idle(&self, target: &TargetId) {
-        self.idle.borrow_mut().remove(target);
-    }
-
     /// Closes all idle connections.
     pub fn clear(&self) {
         self.idle.borrow_mut().clear();
--- a/crates/gateway/src/targets/target_exchange.rs
+++ b/crates/gateway/src/targets/target_exchange.rs
@@ -65,6 +65,12 @@
     /// Whether the target has sent a response that belongs to no call on this
     /// connection.
     had_stray: bool,
+    /// Whether the connection was used for other calls before.
+    is_reused: bool,
+    /// Whether the connection is held back at the end of the response.
+    is_held_back: bool,
+    /// Connection that was held back.
+    held_back: Option<HttpStream>,
     in_flight: InFlightCall,
 }
 
@@ -120,6 +126,7 @@
                     head,
                     framing,
                     had_stray,
+                    is_reused,
                 } = received;
                 record_load(shared, record, &head);
                 if head.headers.text(headers::LEAVING).is_some_and(is_flag_set) {
@@ -136,6 +143,9 @@
                     reader: BodyReader::new(framing),
                     framing,
                     had_stray,
+                    is_reused,
+                    is_held_back: false,
+                    held_back: None,
                     in_flight,
                 })
             }
@@ -244,6 +254,28 @@
         self.framing == BodyFraming::UntilClose
     }
 
+    /// Whether the connection was used for other calls before, so that the response
+    /// may be a late copy of an earlier one.
+    #[must_use]
+    pub const fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+
+    /// Holds the connection back at the end of the response. It is closed with the
+    /// exchange unless [`Self::release_connection`] is called.
+    pub const fn hold_connection(&mut self) {
+        self.is_held_back = true;
+    }
+
+    /// Keeps the connection that was held back for the next call. The caller must be
+    /// certain that the response belongs to this call: otherwise the response to this
+    /// call has yet to arrive on the connection, and would be taken for the next one's.
+    pub fn release_connection(&mut self) {
+        if let Some(stream) = self.held_back.take() {
+            self.keep(stream);
+        }
+    }
+
     /// Sets the outcome that is recorded for the target, whatever the response.
     pub fn set_outcome(&mut self, outcome: CallOutcome) {
         self.in_flight.outcome = outcome;
@@ -261,11 +293,18 @@
             return;
         };
         if self.framing != BodyFraming::UntilClose && !self.had_stray {
-            let now = self.shared.now();
-            let pool = &self.shared.idle_connections;
-            pool.put(&self.record.id, stream, &self.head, now);
+            if self.is_held_back {
+                self.held_back = Some(stream);
+            } else {
+                self.keep(stream);
+            }
         }
     }
+
+    fn keep(&self, stream: HttpStream) {
+        let pool = &self.shared.idle_connections;
+        pool.put(&self.record.id, stream, &self.head, self.shared.now());
+    }
 }
 
 async fn connect(
@@ -308,6 +347,8 @@
     framing: BodyFraming,
     /// Whether responses to other calls came before it.
     had_stray: bool,
+    /// Whether the connection was used for other calls before.
+    is_reused: bool,
 }
 
 /// Reads the head of the response to a request. Late responses to earlier
@@ -338,6 +379,7 @@
                 head,
                 framing,
                 had_stray: strays > 0,
+                is_reused,
             });
         }
         let stray = BodyReader::new(framing);
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -8,7 +8,7 @@
 use serde_json::{Value, json};
 use support::{
     CallerRequest, GatewayProcess, RawResponse, any_port, config, default_routes, default_store,
-    register, route, start_targets, wait_for,
+    register, route, start_targets, target_record, wait_for,
 };
 use verbenahub_platform_standin::{
     EngineTarget, PlainTarget, RawCall, RawReply, RawServer, ReplyStep, RunLog, StageTarget,
@@ -600,18 +600,66 @@
     for caller in callers {
         caller.join().expect("an answer");
     }
+    assert_foreign_inputs_are_absent(&fixture);
+}
+
+/// Guards against results of other requests as inputs. A refusal that comes twice on a
+/// kept connection was taken for the refusal of the next call, and the connection kept,
+/// so that each later call on it got the results of the call before.
+#[test]
+fn refusal_of_a_stage_that_comes_twice_shifts_no_results() {
+    let mut fixture = StageFixture::start(1, Duration::from_millis(5));
+    // Longer than the pauses of a target that refuses two calls in a row (60 and 120 ms),
+    // so that the connection looks idle when it is used again, and shorter than the
+    // timeout of a call (430 ms).
+    let span = Duration::from_millis(300);
+    let doubling = StageTarget::start_with_duplicate_refusal(any_port(), "s9", span, 2);
+    let doubling = doubling.expect("a stage");
+    for id in ["s0", "s2"] {
+        fixture.store.remove(&format!("servers/{id}"));
+    }
+    // With one slot, all its calls use the same connection.
+    let mut record = target_record("stage-a", doubling.server().address());
+    record["Slots"] = json!(1);
+    fixture.store.put("servers/s9", &record);
+    let known = |gateway: &GatewayProcess| {
+        let lines = gateway.log_lines();
+        let last = lines
+            .iter()
+            .rfind(|line| line["msg"] == "targets: Changed.");
+        last.is_some_and(|line| line["targets"] == 4)
+    };
+    wait_for("the change of targets", || known(&fixture.gateways[0]));
+    fixture.stages.push(doubling);
+    let front = fixture.gateways[0].caller_address;
+    // Each request fills one call. The requests overlap, so that the connection is never
+    // idle for long.
+    let callers: Vec<_> = (0..8)
+        .map(|number| {
+            thread::sleep(span);
+            thread::spawn(move || staged(&format!("r{number}"), "10,1,0").fetch(front))
+        })
+        .collect();
+    for caller in callers {
+        let answer = caller.join().expect("an answer");
+        assert!(answer.is_complete, "{}", answer.status);
+    }
+    assert_foreign_inputs_are_absent(&fixture);
+}
+
+/// Checks that all inputs of the second stage were made for the same request.
+fn assert_foreign_inputs_are_absent(fixture: &StageFixture) {
     let results: Vec<(Value, String)> = fixture
         .stages
         .iter()
         .flat_map(StageTarget::results)
         .collect();
-    for (item, _) in results.iter().filter(|(item, _)| item["Stage"] == 1) {
-        let input = item["Inputs"][0].as_str().expect("an input");
-        let maker = results
-            .iter()
-            .find(|(_, name)| name == input)
-            .expect("its maker");
-        assert_eq!(maker.0["Id"], item["Id"]);
+    let second = results.iter().filter(|(item, _)| item["Stage"] == 1);
+    for (item, _) in second {
+        for input in item["Inputs"].as_array().expect("inputs") {
+            let maker = results.iter().find(|(_, name)| name == input);
+            assert_eq!(maker.expect("its maker").0["Id"], item["Id"]);
+        }
     }
 }
 
