Stop a silent engine before the next one works on its stream

The silent engine's connection is closed when the next engine may be working on the stream: when its head arrives, when the attempt fails without a proof that it hasn't run, and in any case 250 ms after the call was begun, within the 400 ms of the rule. If the other engines refuse the stream or can't be reached before that, it goes on at the silent one. A stream that failed otherwise has its connection closed before it is sent anywhere else.

Ruled out: closing the connection before the next engine is asked, since a refusal then ends a sound stream.

--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -11,6 +11,7 @@
 mod request_end;
 mod request_progress;
 mod request_resolver;
+mod resume_point;
 mod stream_flow;
 mod target_response;
 mod target_sender;
--- a/crates/gateway/src/front/stream_flow.rs
+++ b/crates/gateway/src/front/stream_flow.rs
@@ -13,6 +13,7 @@
     answer_phase::AnswerPhase,
     event_splitter::{event_id, has_fields},
     plain_flow::{read_response, response_defect},
+    resume_point::ResumePoint,
     target_sender::TargetSender,
 };
 use crate::{
@@ -152,6 +153,7 @@
                     return RequestEnd::interrupted("time_over", Some(status), String::new());
                 }
                 EventsEnd::Failed(error) => {
+                    self.exchange.close();
                     self.record_failure(&error);
                     error.to_string()
                 }
@@ -167,11 +169,27 @@
         }
     }
 
-    /// Resumes the stream at another target, if the route allows it. Returns
-    /// whether one accepted it.
+    /// Resumes the stream at another target, if the route allows it, or else at its
+    /// own, if that one is only silent. Returns whether the stream goes on.
     async fn resume(&mut self) -> bool {
         self.sender.history.record_may_have_run();
-        self.splitter.clear();
+        if self.resume_elsewhere().await {
+            return true;
+        }
+        let is_kept = self.exchange.is_open();
+        if is_kept {
+            if self.last_event.is_some() {
+                self.result_guard = None;
+            }
+            slog::info!(self.sender.shared.log, "request: Silent stream is kept.";
+                "request" => &self.sender.request.id, "target" => %self.exchange.record().id);
+        }
+        is_kept
+    }
+
+    /// Resumes the stream at another target. Returns whether one accepted it. The
+    /// exchange is open afterwards only if no other target can work on the stream.
+    async fn resume_elsewhere(&mut self) -> bool {
         if !self.sender.request.route.resumable || !self.sender.may_repeat().await {
             return false;
         }
@@ -179,13 +197,18 @@
             return false;
         }
         let last = self.last_event.clone();
-        let Ok(exchange) = open_stream(&mut self.sender, last.as_deref()).await else {
+        let mut resume_point = ResumePoint {
+            last_event: last.as_deref(),
+            previous: &mut self.exchange,
+        };
+        let Ok(exchange) = open_stream(&mut self.sender, Some(&mut resume_point)).await else {
             return false;
         };
         if !is_event_stream(&exchange) {
             return false;
         }
         self.exchange = exchange;
+        self.splitter.clear();
         self.begun_at = None;
         self.is_answered = false;
         self.resumed_after = last.and_then(|id| id.parse().ok());
@@ -370,10 +393,10 @@
 /// Returns the gateway's own response if there is no such response.
 async fn open_stream(
     sender: &mut TargetSender<'_>,
-    last_event: Option<&str>,
+    mut resume_point: Option<&mut ResumePoint<'_>>,
 ) -> Result<TargetExchange, GatewayResponse> {
     loop {
-        let exchange = sender.open_exchange(last_event).await?;
+        let exchange = sender.open_exchange(resume_point.as_deref_mut()).await?;
         let defect = response_defect(&exchange.head).filter(|_| is_event_stream(&exchange));
         let Some(defect) = defect else {
             return Ok(exchange);
--- a/crates/gateway/src/front/target_sender.rs
+++ b/crates/gateway/src/front/target_sender.rs
@@ -1,4 +1,4 @@
-use std::sync::Arc;
+use std::{pin::pin, sync::Arc};
 
 use verbenahub_core::{
     clock::TimeSpan,
@@ -15,6 +15,7 @@
     answer_phase::AnswerPhase,
     forward_headers::{ForwardExtras, forward_headers},
     gateway_response::MAX_RETRY_AFTER,
+    resume_point::ResumePoint,
 };
 use crate::{
     engines::EngineAssignment,
@@ -38,6 +39,10 @@
 /// Timeout for the body of a refusal. It arrives at once or isn't worth waiting
 /// for, since it is only read so that the connection can be reused.
 const REFUSAL_TIMEOUT: TimeSpan = TimeSpan::from_millis(100);
+/// How long the connection of a silent stream is kept after the stream was sent to
+/// another target, in case that one refuses it. A target must have stopped 400 ms after
+/// the next one has begun; the rest is for the close to reach it.
+const RESUME_OVERLAP: TimeSpan = TimeSpan::from_millis(250);
 /// Random addition to `Retry-After`, so that callers that are refused at the same
 /// time don't all retry at the same time.
 const RETRY_JITTER_PERCENT: u64 = 30;
@@ -139,14 +144,16 @@
     }
 
     /// Sends the request to the best target and waits for the head of the
-    /// response. Retries at other targets where that is allowed.
+    /// response. Retries at other targets where that is allowed. With a
+    /// `resume_point`, the previous exchange is open afterwards only if no target
+    /// can have run the request since.
     ///
     /// # Errors
     ///
     /// Returns the gateway's own response if no target accepts the request.
     pub(super) async fn open_exchange(
         &mut self,
-        last_event: Option<&str>,
+        mut resume_point: Option<&mut ResumePoint<'_>>,
     ) -> Result<TargetExchange, GatewayResponse> {
         let mut denials = 0;
         loop {
@@ -166,7 +173,7 @@
                 self.end_assignment(PromptStep::Ended);
                 return Err(response);
             }
-            match self.attempt(permit, last_event).await {
+            match self.attempt(permit, resume_point.as_deref_mut()).await {
                 Ok(exchange) => {
                     let refused = exchange.head.headers.get(headers::NOT_RUN).is_some();
                     if !refused {
@@ -358,14 +365,14 @@
     async fn attempt(
         &mut self,
         permit: SendPermit,
-        last_event: Option<&str>,
+        resume_point: Option<&mut ResumePoint<'_>>,
     ) -> Result<TargetExchange, SendError> {
         let record = &Arc::clone(permit.record());
         let request = self.request;
         let left = request.time_left(self.shared.now());
         let extras = ForwardExtras {
             inputs: self.inputs.as_deref(),
-            last_event,
+            last_event: resume_point.as_ref().and_then(|point| point.last_event),
         };
         let call = TargetCall {
             method: &request.head.method,
@@ -382,7 +389,7 @@
             self.shared.retry_budget.earn();
         }
         let begun = self.shared.now();
-        let result = TargetExchange::begin(self.shared, permit, call).await;
+        let result = self.begin_exchange(permit, call, resume_point).await;
         let end = match &result {
             Ok(exchange) => exchange.head.status.to_string(),
             Err(error) => error.to_string(),
@@ -405,6 +412,36 @@
         result
     }
 
+    /// Sends a call. The previous exchange of a stream that is resumed is closed
+    /// unless the target refuses the call or can't be reached, and in any case
+    /// [`RESUME_OVERLAP`] after it was sent.
+    async fn begin_exchange(
+        &self,
+        permit: SendPermit,
+        call: TargetCall<'_>,
+        resume_point: Option<&mut ResumePoint<'_>>,
+    ) -> Result<TargetExchange, SendError> {
+        let begin = TargetExchange::begin(self.shared, permit, call);
+        let Some(point) = resume_point else {
+            return begin.await;
+        };
+        let mut begin = pin!(begin);
+        let result = if let Some(result) = within(RESUME_OVERLAP, begin.as_mut()).await {
+            result
+        } else {
+            point.previous.close();
+            begin.await
+        };
+        let is_not_run = match &result {
+            Ok(exchange) => exchange.head.headers.get(headers::NOT_RUN).is_some(),
+            Err(error) => error.is_not_run(),
+        };
+        if !is_not_run {
+            point.previous.close();
+        }
+        result
+    }
+
     /// Records that the request waits again if it is certain that no target has it.
     fn update_progress(&self) {
         if self.history.prove_not_run().is_some() {
--- a/crates/gateway/src/targets/target_exchange.rs
+++ b/crates/gateway/src/targets/target_exchange.rs
@@ -254,6 +254,18 @@
         self.framing == BodyFraming::UntilClose
     }
 
+    /// Closes the connection, so that the target stops working on the call.
+    pub fn close(&mut self) {
+        self.stream = None;
+        self.held_back = None;
+    }
+
+    /// Whether the connection is open and the response has not ended.
+    #[must_use]
+    pub const fn is_open(&self) -> bool {
+        self.stream.is_some()
+    }
+
     /// Whether the connection was used for other calls before, so that the response
     /// may be a late copy of an earlier one.
     #[must_use]
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -3,12 +3,16 @@
 
 mod support;
 
-use std::{collections::BTreeSet, thread, time::Duration};
+use std::{
+    collections::BTreeSet,
+    thread,
+    time::{Duration, Instant},
+};
 
 use serde_json::{Value, json};
 use support::{
-    CallerRequest, GatewayProcess, RawResponse, any_port, config, default_routes, default_store,
-    register, route, start_targets, target_record, wait_for,
+    CallerRequest, GatewayProcess, RawResponse, TEST_TIMEOUT, any_port, config, default_routes,
+    default_store, register, route, start_targets, target_record, wait_for,
 };
 use verbenahub_platform_standin::{
     EngineTarget, PlainTarget, RawCall, RawReply, RawServer, ReplyStep, RunLog, StageTarget,
@@ -17,13 +21,15 @@
 
 const EVENTS: u32 = 6;
 const PAUSE: Duration = Duration::from_millis(5);
+/// Long enough to tell the end of a run at its deadline from an earlier one.
+const SILENT_STREAM_TIMEOUT_MS: u32 = 15_000;
 
 /// A gateway with scripted engines.
 struct StreamFixture {
     gateway: GatewayProcess,
     log: RunLog,
     engines: Vec<PlainTarget>,
-    _store: StoreServer,
+    store: StoreServer,
 }
 
 impl StreamFixture {
@@ -41,7 +47,7 @@
             gateway,
             log,
             engines,
-            _store: store,
+            store,
         }
     }
 
@@ -260,6 +266,70 @@
     }
 }
 
+/// A gateway with two engines and a resumable route whose streams are resumed after a
+/// silence of 1 s. The engine that is asked first begins the stream and is silent in its
+/// middle for `silence`; the other one replies as `second` says.
+fn start_silent_stream<F>(silence: Duration, second: F) -> StreamFixture
+where
+    F: Fn(&RawCall) -> RawReply + Clone + Send + Sync + 'static,
+{
+    let log = RunLog::default();
+    let fixture = StreamFixture::start(2, move |call: &RawCall| {
+        log.record("any", call);
+        if log.runs().len() > 1 {
+            return second(call);
+        }
+        let mut reply = EngineTarget::stream(call, EVENTS, PAUSE);
+        // The head, and a pause and an event for each of the first three events.
+        reply.steps.insert(7, ReplyStep::Wait(silence));
+        reply.last_chunk()
+    });
+    let mut resumable = route("resumable", "/resume/", "streaming", "pool", 2);
+    resumable["Resumable"] = json!(true);
+    resumable["TimeoutMs"] = json!(SILENT_STREAM_TIMEOUT_MS);
+    resumable["GoalMs"] = json!(500);
+    fixture.store.put("op/config", &config(4, &[resumable]));
+    let gateway = &fixture.gateway;
+    gateway
+        .wait_log_line(|line| line["msg"] == "config: Version in force." && line["version"] == 4);
+    fixture
+}
+
+/// Guards against two engines that work on one stream. The first engine's connection stayed
+/// open until the second one responded, which it may never do.
+#[test]
+fn silent_engine_is_stopped_although_the_next_ones_response_is_lost() {
+    let fixture = start_silent_stream(TEST_TIMEOUT, |_| RawReply::silence());
+    let mut request = CallerRequest::new("POST", "/resume/a", "r1");
+    request.deadline_ms = SILENT_STREAM_TIMEOUT_MS;
+    let caller = request.send(fixture.gateway.caller_address);
+    wait_for("the second engine", || fixture.log.runs_of("r1").len() == 2);
+    let resumed_at = Instant::now();
+    let runs = fixture.log.runs_of("r1");
+    let aborted_replies = |run: usize| {
+        let engine = fixture
+            .engines
+            .iter()
+            .find(|engine| engine.id() == runs[run].target);
+        engine.expect("an engine").server().aborted_replies()
+    };
+    wait_for("the end of the first run", || aborted_replies(0) == 1);
+    assert!(resumed_at.elapsed() < Duration::from_millis(u64::from(SILENT_STREAM_TIMEOUT_MS) / 4));
+    assert_eq!(aborted_replies(1), 0, "the second engine works on");
+    drop(caller);
+}
+
+/// Guards against giving up a sound engine that is silent for a while, for one that takes
+/// no more requests.
+#[test]
+fn silent_stream_is_kept_if_no_other_engine_accepts_it() {
+    let fixture = start_silent_stream(Duration::from_secs(2), |_| PlainTarget::refusal());
+    let answer = fixture.ask("/resume/a", "r1");
+    assert!(answer.is_complete);
+    assert_eq!(answer.text(), events("r1", EVENTS));
+    assert_eq!(fixture.log.runs_of("r1").len(), 2, "one of them refused");
+}
+
 #[test]
 fn resumable_stream_goes_on_no_more_often_than_its_route_allows() {
     let fixture = StreamFixture::start(3, |call: &RawCall| {
