Order the steps of the test of late requests in a planned stop

Its cause is the test: it stopped the gateway as soon as the engine had the stream's request. If the signal came before the head of the engine's response, the response announced "Connection: close", as it must, and the booking behind it was not read. The log of a failed run shows the signal 0.05 ms before the head.

Ruled out: a stream that outlasts the grace period (it was complete), and a rejection (its status is 503).

The test now waits for the head of the response before the signal, asserts that the response doesn't close its connection, and lets the engine end the stream (ReplyGate) when the gateway has closed idle connections, instead of after 3.85 s. It checks the same as before, and that the order was the one it is about.

--- a/crates/gateway/tests/planned_stop.rs
+++ b/crates/gateway/tests/planned_stop.rs
@@ -13,19 +13,19 @@
     CallerRequest, GatewayProcess, RawResponse, any_port, config, route, start_targets, wait_for,
 };
 use verbenahub_platform_standin::{
-    EngineTarget, PlainTarget, RawCall, RawReply, ReplyStep, RunLog, StoreServer,
+    EngineTarget, PlainTarget, RawCall, RawReply, ReplyGate, ReplyStep, RunLog, StoreServer,
 };
 
 /// Longer than the grace period of the gateways, which is 8 s.
 const TIMEOUT_MS: u32 = 15_000;
-/// Pause between the events of a stream that ends after idle connections are closed and
-/// before the end of the grace period.
-const EVENT_INTERVAL: Duration = Duration::from_millis(350);
-const EVENTS: u32 = 11;
+/// Events that the engine sends before the gate.
+const EVENTS: u32 = 2;
 
 struct StopFixture {
     gateway: GatewayProcess,
     log: RunLog,
+    /// Opened to let the engine end its streams.
+    stream_end: ReplyGate,
     _targets: Vec<PlainTarget>,
     _store: StoreServer,
 }
@@ -51,8 +51,12 @@
         }
         store.put("op/config", &config(3, &routes));
         let log = RunLog::default();
-        let mut targets = start_targets(&store, &log, "pool", "e", 1, |call: &RawCall| {
-            EngineTarget::stream(call, EVENTS, EVENT_INTERVAL).last_chunk()
+        let stream_end = ReplyGate::default();
+        let gate = stream_end.clone();
+        let mut targets = start_targets(&store, &log, "pool", "e", 1, move |call: &RawCall| {
+            EngineTarget::stream(call, EVENTS, Duration::ZERO)
+                .then(ReplyStep::WaitFor(gate.clone()))
+                .last_chunk()
         });
         targets.extend(start_targets(&store, &log, "desk", "t", 1, script.clone()));
         targets.extend(start_targets(&store, &log, "stage-a", "s", 1, script));
@@ -61,25 +65,35 @@
         Self {
             gateway,
             log,
+            stream_end,
             _targets: targets,
             _store: store,
         }
     }
 
-    /// Sends a stream's request and a booking behind it on the same connection, and stops
-    /// the gateway. Returns the answers and whether the process ended well.
+    /// Sends a stream's request and, once its response has begun, a booking behind it on
+    /// the same connection, and stops the gateway. The stream ends when idle connections
+    /// have been closed. Returns the answers and whether the process ended well.
     fn book_late(&mut self, deadline_ms: u32) -> (RawResponse, RawResponse, bool) {
         let mut stream = CallerRequest::new("POST", "/tell/a", "stream");
         stream.deadline_ms = TIMEOUT_MS;
         let mut connection = stream.send(self.gateway.caller_address);
+        // The response must have begun before the stop: a later one announces that its
+        // connection is closed, and then nothing behind it is read.
+        let begun = connection.peek(&mut [0]);
+        assert_eq!(begun.expect("the stream begins"), 1);
         let mut booking = CallerRequest::new("POST", "/book/a", "late");
         booking.deadline_ms = deadline_ms;
         connection
             .write_all(&booking.encode())
             .expect("the booking is sent");
-        wait_for("the stream", || self.log.runs_of("stream").len() == 1);
         self.gateway.signal(Signal::TERM);
+        self.gateway.wait_log_line(|line| {
+            line["msg"] == "drain: Next step." && line["phase"] == "finishing"
+        });
+        self.stream_end.open();
         let streamed = RawResponse::read(&mut connection);
+        assert_eq!(streamed.header("Connection"), None);
         let booked = RawResponse::read(&mut connection);
         (streamed, booked, self.gateway.wait_exit())
     }
