Serve a request that has arrived when idle connections are closed

In a planned stop, a request that waits behind a large one on a connection could be closed without an answer: after four reads that found bytes ready, HttpStream::fill yields before the next one, and wait_for_request took that for an idle connection.

wait_for_request now looks for bytes that have arrived before it ends a connection as idle.

Ruled out: checking the shutdown only after a read has had to wait, since a read that yields can't be told from one that waits.

--- a/crates/gateway/src/front/caller_connection.rs
+++ b/crates/gateway/src/front/caller_connection.rs
@@ -92,7 +92,9 @@
             let _ = ending.recv().await;
             false
         };
-        bytes.or(shutdown).await
+        // A read may yield although bytes have arrived, so the shutdown alone doesn't show
+        // that the connection is idle.
+        bytes.or(shutdown).await || self.stream.has_unread_bytes()
     }
 
     async fn read_request(
--- a/crates/gateway/src/http/http_stream.rs
+++ b/crates/gateway/src/http/http_stream.rs
@@ -158,6 +158,12 @@
         self.buffer.is_empty()
     }
 
+    /// Whether bytes have arrived that have not been consumed.
+    #[must_use]
+    pub fn has_unread_bytes(&self) -> bool {
+        !self.is_buffer_empty() || matches!(self.socket.get_ref().peek(&mut [0]), Ok(1))
+    }
+
     /// Whether an idle connection can be reused: the peer has sent nothing and has
     /// not closed it.
     #[must_use]
--- a/crates/gateway/tests/planned_stop.rs
+++ b/crates/gateway/tests/planned_stop.rs
@@ -20,6 +20,8 @@
 const TIMEOUT_MS: u32 = 15_000;
 /// Events that the engine sends before the gate.
 const EVENTS: u32 = 2;
+/// Body of a request that the gateway reads in several pieces, all of which have arrived.
+const LARGE_BODY_BYTES: usize = 65_000;
 
 struct StopFixture {
     gateway: GatewayProcess,
@@ -71,12 +73,18 @@
         }
     }
 
-    /// Sends a stream's request and, once its response has begun, a booking behind it on
-    /// the same connection, and stops the gateway. The stream ends when idle connections
-    /// have been closed. Returns the answers and whether the process ended well.
-    fn book_late(&mut self, deadline_ms: u32) -> (RawResponse, RawResponse, bool) {
+    /// Sends a stream's request with a body of `body_bytes` and, once its response has
+    /// begun, a booking behind it on the same connection, and stops the gateway. The
+    /// stream ends when idle connections have been closed. Returns the answers and
+    /// whether the process ended well.
+    fn book_late(
+        &mut self,
+        deadline_ms: u32,
+        body_bytes: usize,
+    ) -> (RawResponse, RawResponse, bool) {
         let mut stream = CallerRequest::new("POST", "/tell/a", "stream");
         stream.deadline_ms = TIMEOUT_MS;
+        stream.body = vec![b'x'; body_bytes];
         let mut connection = stream.send(self.gateway.caller_address);
         // The response must have begun before the stop: a later one announces that its
         // connection is closed, and then nothing behind it is read.
@@ -104,7 +112,7 @@
 #[test]
 fn late_request_that_may_outlast_the_grace_period_is_rejected_without_a_run() {
     let mut fixture = StopFixture::start(|_| RawReply::silence());
-    let (streamed, booked, is_success) = fixture.book_late(TIMEOUT_MS);
+    let (streamed, booked, is_success) = fixture.book_late(TIMEOUT_MS, 0);
     assert!(streamed.is_complete);
     assert_eq!(booked.status, 503);
     assert_eq!(booked.header("Connection"), Some("close"));
@@ -117,7 +125,20 @@
 fn late_request_that_ends_within_the_grace_period_is_served() {
     let mut fixture =
         StopFixture::start(|call: &RawCall| PlainTarget::signed(call, "200 OK", b"booked"));
-    let (streamed, booked, is_success) = fixture.book_late(1_000);
+    let (streamed, booked, is_success) = fixture.book_late(1_000, 0);
+    assert!(streamed.is_complete);
+    assert_eq!(booked.status, 200);
+    assert!(is_success);
+}
+
+/// Guards against closing a connection as idle on which a request has already arrived.
+/// After several reads that found bytes ready the connection's task yields once before
+/// the next read, and was ended there.
+#[test]
+fn late_request_behind_a_large_one_is_served() {
+    let mut fixture =
+        StopFixture::start(|call: &RawCall| PlainTarget::signed(call, "200 OK", b"booked"));
+    let (streamed, booked, is_success) = fixture.book_late(1_000, LARGE_BODY_BYTES);
     assert!(streamed.is_complete);
     assert_eq!(booked.status, 200);
     assert!(is_success);
