--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -3,26 +3,33 @@
 
 mod support;
 
-use std::{collections::BTreeSet, thread, time::Duration};
+use std::{
+    collections::BTreeSet,
+    thread,
+    time::{Duration, Instant},
+};
 
 use serde_json::{Value, json};
 use support::{
-    CallerRequest, GatewayProcess, RawResponse, any_port, config, default_routes, default_store,
-    register, route, start_targets, wait_for,
+    CallerRequest, GatewayProcess, RawResponse, TEST_TIMEOUT, any_port, config, default_routes,
+    default_store, register, route, start_targets, target_record, wait_for,
 };
 use verbenahub_platform_standin::{
-    EngineTarget, PlainTarget, RawCall, RawReply, ReplyStep, RunLog, StageTarget, StoreServer,
+    EngineTarget, PlainTarget, RawCall, RawReply, RawServer, ReplyStep, RunLog, StageTarget,
+    StoreServer,
 };
 
 const EVENTS: u32 = 6;
 const PAUSE: Duration = Duration::from_millis(5);
+/// Long enough to tell the end of a run at its deadline from an earlier one.
+const SILENT_STREAM_TIMEOUT_MS: u32 = 15_000;
 
 /// A gateway with scripted engines.
 struct StreamFixture {
     gateway: GatewayProcess,
     log: RunLog,
     engines: Vec<PlainTarget>,
-    _store: StoreServer,
+    store: StoreServer,
 }
 
 impl StreamFixture {
@@ -40,7 +47,7 @@
             gateway,
             log,
             engines,
-            _store: store,
+            store,
         }
     }
 
@@ -129,6 +136,8 @@
         "success of another type",
         "stream from its beginning",
         "no signature and no length",
+        "stream without a signature",
+        "encoded stream",
         "nothing",
     ] {
         let log = RunLog::default();
@@ -160,6 +169,9 @@
                 "no signature and no length" => {
                     RawReply::send("HTTP/1.1 500 Broken\r\n\r\nid: 3\n\n").then(ReplyStep::Close)
                 }
+                "stream without a signature" | "encoded stream" => {
+                    defective_stream(call, case).last_chunk()
+                }
                 _ => RawReply::send("").then(ReplyStep::Close),
             }
         });
@@ -171,6 +183,63 @@
     }
 }
 
+/// A stream that is not the target's own: its signature is missing, or its body is
+/// encoded.
+fn defective_stream(call: &RawCall, case: &str) -> RawReply {
+    let reply = EngineTarget::stream(call, EVENTS, PAUSE);
+    if case != "stream without a signature" {
+        return reply.with_header("Content-Encoding", "gzip");
+    }
+    let id = call.header("Attempt-Id").unwrap_or_default();
+    let headers = [("Attempt-Id", id), ("Content-Type", "text/event-stream")];
+    let mut unsigned = RawReply::chunked("200 OK", &headers);
+    unsigned.steps.extend(reply.steps.into_iter().skip(1));
+    unsigned
+}
+
+/// Guards against relaying a stream without a signature, or with an encoded body, as a
+/// success. The engine may have run the request, and must stop working on it.
+#[test]
+fn stream_without_signature_or_with_encoding_is_not_relayed() {
+    for case in ["stream without a signature", "encoded stream"] {
+        let fixture = StreamFixture::start(2, move |call: &RawCall| {
+            defective_stream(call, case).then(ReplyStep::Silence)
+        });
+        let answer = fixture.ask("/tell/a", "r1");
+        assert_eq!(answer.status, 502, "{case}");
+        assert_eq!(answer.header("Not-Executed"), None, "{case}");
+        assert_eq!(fixture.log.runs_of("r1").len(), 1, "{case}");
+        wait_for("the end of the work", || {
+            let servers = fixture.engines.iter().map(PlainTarget::server);
+            servers.map(RawServer::aborted_replies).sum::<usize>() == 1
+        });
+    }
+}
+
+/// Guards against giving up a request that may be repeated after such a response.
+#[test]
+fn stream_that_may_be_repeated_is_served_by_another_engine_after_a_defective_response() {
+    for case in ["stream without a signature", "encoded stream"] {
+        let log = RunLog::default();
+        let seen = log.clone();
+        let fixture = StreamFixture::start(2, move |call: &RawCall| {
+            seen.record("any", call);
+            if seen.runs().len() == 1 {
+                return defective_stream(call, case).last_chunk();
+            }
+            EngineTarget::stream(call, EVENTS, PAUSE).last_chunk()
+        });
+        let answer = fixture.ask("/resume/a", "r1");
+        assert_eq!((answer.status, answer.is_complete), (200, true), "{case}");
+        assert_eq!(answer.text(), events("r1", EVENTS), "{case}");
+        assert_eq!(answer.header("Response-Signature"), Some("3e1b.07"));
+        assert_eq!(answer.header("Content-Encoding"), None);
+        let runs = fixture.log.runs_of("r1");
+        assert_eq!(runs.len(), 2, "{case}");
+        assert_ne!(runs[0].target, runs[1].target, "{case}");
+    }
+}
+
 /// Streams without a length or chunks end with their connection.
 #[test]
 fn stream_without_a_length_is_complete_only_between_events() {
@@ -197,6 +266,70 @@
     }
 }
 
+/// A gateway with two engines and a resumable route whose streams are resumed after a
+/// silence of 1 s. The engine that is asked first begins the stream and is silent in its
+/// middle for `silence`; the other one replies as `second` says.
+fn start_silent_stream<F>(silence: Duration, second: F) -> StreamFixture
+where
+    F: Fn(&RawCall) -> RawReply + Clone + Send + Sync + 'static,
+{
+    let log = RunLog::default();
+    let fixture = StreamFixture::start(2, move |call: &RawCall| {
+        log.record("any", call);
+        if log.runs().len() > 1 {
+            return second(call);
+        }
+        let mut reply = EngineTarget::stream(call, EVENTS, PAUSE);
+        // The head, and a pause and an event for each of the first three events.
+        reply.steps.insert(7, ReplyStep::Wait(silence));
+        reply.last_chunk()
+    });
+    let mut resumable = route("resumable", "/resume/", "streaming", "pool", 2);
+    resumable["Resumable"] = json!(true);
+    resumable["TimeoutMs"] = json!(SILENT_STREAM_TIMEOUT_MS);
+    resumable["GoalMs"] = json!(500);
+    fixture.store.put("op/config", &config(4, &[resumable]));
+    let gateway = &fixture.gateway;
+    gateway
+        .wait_log_line(|line| line["msg"] == "config: Version in force." && line["version"] == 4);
+    fixture
+}
+
+/// Guards against two engines that work on one stream. The first engine's connection stayed
+/// open until the second one responded, which it may never do.
+#[test]
+fn silent_engine_is_stopped_although_the_next_ones_response_is_lost() {
+    let fixture = start_silent_stream(TEST_TIMEOUT, |_| RawReply::silence());
+    let mut request = CallerRequest::new("POST", "/resume/a", "r1");
+    request.deadline_ms = SILENT_STREAM_TIMEOUT_MS;
+    let caller = request.send(fixture.gateway.caller_address);
+    wait_for("the second engine", || fixture.log.runs_of("r1").len() == 2);
+    let resumed_at = Instant::now();
+    let runs = fixture.log.runs_of("r1");
+    let aborted_replies = |run: usize| {
+        let engine = fixture
+            .engines
+            .iter()
+            .find(|engine| engine.id() == runs[run].target);
+        engine.expect("an engine").server().aborted_replies()
+    };
+    wait_for("the end of the first run", || aborted_replies(0) == 1);
+    assert!(resumed_at.elapsed() < Duration::from_millis(u64::from(SILENT_STREAM_TIMEOUT_MS) / 4));
+    assert_eq!(aborted_replies(1), 0, "the second engine works on");
+    drop(caller);
+}
+
+/// Guards against giving up a sound engine that is silent for a while, for one that takes
+/// no more requests.
+#[test]
+fn silent_stream_is_kept_if_no_other_engine_accepts_it() {
+    let fixture = start_silent_stream(Duration::from_secs(2), |_| PlainTarget::refusal());
+    let answer = fixture.ask("/resume/a", "r1");
+    assert!(answer.is_complete);
+    assert_eq!(answer.text(), events("r1", EVENTS));
+    assert_eq!(fixture.log.runs_of("r1").len(), 2, "one of them refused");
+}
+
 #[test]
 fn resumable_stream_goes_on_no_more_often_than_its_route_allows() {
     let fixture = StreamFixture::start(3, |call: &RawCall| {
@@ -537,18 +670,66 @@
     for caller in callers {
         caller.join().expect("an answer");
     }
+    assert_foreign_inputs_are_absent(&fixture);
+}
+
+/// Guards against results of other requests as inputs. A refusal that comes twice on a
+/// kept connection was taken for the refusal of the next call, and the connection kept,
+/// so that each later call on it got the results of the call before.
+#[test]
+fn refusal_of_a_stage_that_comes_twice_shifts_no_results() {
+    let mut fixture = StageFixture::start(1, Duration::from_millis(5));
+    // Longer than the pauses of a target that refuses two calls in a row (60 and 120 ms),
+    // so that the connection looks idle when it is used again, and shorter than the
+    // timeout of a call (430 ms).
+    let span = Duration::from_millis(300);
+    let doubling = StageTarget::start_with_duplicate_refusal(any_port(), "s9", span, 2);
+    let doubling = doubling.expect("a stage");
+    for id in ["s0", "s2"] {
+        fixture.store.remove(&format!("servers/{id}"));
+    }
+    // With one slot, all its calls use the same connection.
+    let mut record = target_record("stage-a", doubling.server().address());
+    record["Slots"] = json!(1);
+    fixture.store.put("servers/s9", &record);
+    let known = |gateway: &GatewayProcess| {
+        let lines = gateway.log_lines();
+        let last = lines
+            .iter()
+            .rfind(|line| line["msg"] == "targets: Changed.");
+        last.is_some_and(|line| line["targets"] == 4)
+    };
+    wait_for("the change of targets", || known(&fixture.gateways[0]));
+    fixture.stages.push(doubling);
+    let front = fixture.gateways[0].caller_address;
+    // Each request fills one call. The requests overlap, so that the connection is never
+    // idle for long.
+    let callers: Vec<_> = (0..8)
+        .map(|number| {
+            thread::sleep(span);
+            thread::spawn(move || staged(&format!("r{number}"), "10,1,0").fetch(front))
+        })
+        .collect();
+    for caller in callers {
+        let answer = caller.join().expect("an answer");
+        assert!(answer.is_complete, "{}", answer.status);
+    }
+    assert_foreign_inputs_are_absent(&fixture);
+}
+
+/// Checks that all inputs of the second stage were made for the same request.
+fn assert_foreign_inputs_are_absent(fixture: &StageFixture) {
     let results: Vec<(Value, String)> = fixture
         .stages
         .iter()
         .flat_map(StageTarget::results)
         .collect();
-    for (item, _) in results.iter().filter(|(item, _)| item["Stage"] == 1) {
-        let input = item["Inputs"][0].as_str().expect("an input");
-        let maker = results
-            .iter()
-            .find(|(_, name)| name == input)
-            .expect("its maker");
-        assert_eq!(maker.0["Id"], item["Id"]);
+    let second = results.iter().filter(|(item, _)| item["Stage"] == 1);
+    for (item, _) in second {
+        for input in item["Inputs"].as_array().expect("inputs") {
+            let maker = results.iter().find(|(_, name)| name == input);
+            assert_eq!(maker.expect("its maker").0["Id"], item["Id"]);
+        }
     }
 }
 
