Test the number of requests above an engine's slots

No test checked that an engine gets at most three requests above its slots while another has free slots. A new one does. The time that requests hold a slot is now also learned only from requests that ended without a failure: one that failed early would make the waits for slots look short.

--- a/crates/core/src/engines/prompt_scheduler.rs
+++ b/crates/core/src/engines/prompt_scheduler.rs
@@ -166,7 +166,10 @@
                 self.record_read(progress, now);
                 self.finish_prefill(&progress.request, now);
             } else {
-                if let Some(assigned) = assigned.filter(|assigned| !assigned.is_prefill_pending) {
+                let is_complete = |assigned: &&AssignedRequest| {
+                    !assigned.is_prefill_pending && progress.step == PromptStep::Ended
+                };
+                if let Some(assigned) = assigned.filter(is_complete) {
                     let held = numbers::millis(now.since(assigned.assigned_at));
                     self.hold_millis.observe(held, HOLD_WEIGHT);
                 }
--- a/crates/core/tests/engine_paces.rs
+++ b/crates/core/tests/engine_paces.rs
@@ -4,12 +4,16 @@
 mod engine_fixture;
 mod engine_simulation;
 
-use std::ops::RangeInclusive;
+use std::{ops::RangeInclusive, sync::Arc};
 
-use verbenahub_core::engines::{PromptProgress, PromptStep};
+use verbenahub_core::{
+    clock::TimeSpan,
+    engines::{PromptProgress, PromptScheduler, PromptStep},
+    targets::TargetRecord,
+};
 
 use self::{
-    engine_fixture::{ENGINES, engines, progress},
+    engine_fixture::{CACHE_CAPACITY, ENGINES, at, engines, progress, query},
     engine_simulation::{LoadPattern, Simulation, SimulationResult},
 };
 
@@ -102,6 +106,36 @@
     assert_eq!(decoded, progress("r0", id, PromptStep::Read));
 }
 
+/// Guards against an engine that gets ever more requests above its slots while
+/// another one has free slots.
+#[test]
+fn engine_gets_few_requests_above_its_slots() {
+    let record = |record: &Arc<TargetRecord>| {
+        Arc::new(TargetRecord {
+            slots: 1,
+            ..TargetRecord::clone(record)
+        })
+    };
+    let records: Vec<_> = engines(2).iter().map(record).collect();
+    let mut scheduler = PromptScheduler::new(CACHE_CAPACITY);
+    let choose = |scheduler: &mut PromptScheduler, number: u64| {
+        let wanted = query(&format!("r{number}"), "p", 100_000, 10);
+        let chosen = scheduler.choose(&wanted, &records, at(number));
+        chosen.expect("an engine")
+    };
+    // The first engine has the shared prompt cached, and so takes much less time.
+    let first = choose(&mut scheduler, 0);
+    let mut read = progress("r0", &first, PromptStep::Read);
+    read.first_event_after = Some(TimeSpan::from_millis(500));
+    read.work_percent = Some(100);
+    scheduler.record_progress(&read, at(1));
+    let chosen: Vec<_> = (1..8)
+        .map(|number| choose(&mut scheduler, number))
+        .collect();
+    let count = 1 + chosen.iter().take_while(|engine| **engine == first).count();
+    assert_eq!(count, 4, "one slot and three requests above it");
+}
+
 /// Guards against differences between equal engines that come from noise, and
 /// against shared prompts that move between them.
 #[test]
