Probe idle engines within the shortest deadlines of callers

A slow engine that is probed so often reads prompts slowly and caches parts that others hold already.

An engine now gets a cached prompt after 3 s without a request and any after 4.5 s, so that a recovery is noticed within 5 s, the shortest deadlines of callers.

--- a/crates/core/src/engines/engine_state.rs
+++ b/crates/core/src/engines/engine_state.rs
@@ -20,10 +20,11 @@
 
 /// Time without a request after which an engine should get one whose shared parts
 /// it has cached.
-const CHEAP_SAMPLE_INTERVAL: TimeSpan = TimeSpan::from_millis(1_000);
+const CHEAP_SAMPLE_INTERVAL: TimeSpan = TimeSpan::from_millis(3_000);
 /// Time without a request after which an engine should get any, so that each gets
-/// one in every two seconds.
-const SAMPLE_INTERVAL: TimeSpan = TimeSpan::from_millis(1_700);
+/// one within five seconds, the shortest deadlines of callers. Each such prompt may be
+/// read slowly, and is then cached by one more engine.
+const SAMPLE_INTERVAL: TimeSpan = TimeSpan::from_millis(4_500);
 
 /// What the scheduler knows about one engine.
 #[derive(Debug, Default)]
