--- a/crates/gateway/src/front/stream_flow.rs
+++ b/crates/gateway/src/front/stream_flow.rs
@@ -12,7 +12,8 @@
     ActiveRequest, EventSplitter, GatewayResponse, RequestEnd, TargetResponse,
     answer_phase::AnswerPhase,
     event_splitter::{event_id, has_fields},
-    plain_flow::read_response,
+    plain_flow::{read_response, response_defect},
+    resume_point::ResumePoint,
     target_sender::TargetSender,
 };
 use crate::{
@@ -91,7 +92,7 @@
             Err(response) => return StreamStart::Gateway(response),
         }
     }
-    let exchange = match sender.open_exchange(None).await {
+    let exchange = match open_stream(&mut sender, None).await {
         Ok(exchange) => exchange,
         Err(response) => return StreamStart::Gateway(response),
     };
@@ -152,6 +153,7 @@
                     return RequestEnd::interrupted("time_over", Some(status), String::new());
                 }
                 EventsEnd::Failed(error) => {
+                    self.exchange.close();
                     self.record_failure(&error);
                     error.to_string()
                 }
@@ -167,11 +169,27 @@
         }
     }
 
-    /// Resumes the stream at another target, if the route allows it. Returns
-    /// whether one accepted it.
+    /// Resumes the stream at another target, if the route allows it, or else at its
+    /// own, if that one is only silent. Returns whether the stream goes on.
     async fn resume(&mut self) -> bool {
         self.sender.history.record_may_have_run();
-        self.splitter.clear();
+        if self.resume_elsewhere().await {
+            return true;
+        }
+        let is_kept = self.exchange.is_open();
+        if is_kept {
+            if self.last_event.is_some() {
+                self.result_guard = None;
+            }
+            slog::info!(self.sender.shared.log, "request: Silent stream is kept.";
+                "request" => &self.sender.request.id, "target" => %self.exchange.record().id);
+        }
+        is_kept
+    }
+
+    /// Resumes the stream at another target. Returns whether one accepted it. The
+    /// exchange is open afterwards only if no other target can work on the stream.
+    async fn resume_elsewhere(&mut self) -> bool {
         if !self.sender.request.route.resumable || !self.sender.may_repeat().await {
             return false;
         }
@@ -179,13 +197,18 @@
             return false;
         }
         let last = self.last_event.clone();
-        let Ok(exchange) = self.sender.open_exchange(last.as_deref()).await else {
+        let mut resume_point = ResumePoint {
+            last_event: last.as_deref(),
+            previous: &mut self.exchange,
+        };
+        let Ok(exchange) = open_stream(&mut self.sender, Some(&mut resume_point)).await else {
             return false;
         };
         if !is_event_stream(&exchange) {
             return false;
         }
         self.exchange = exchange;
+        self.splitter.clear();
         self.begun_at = None;
         self.is_answered = false;
         self.resumed_after = last.and_then(|id| id.parse().ok());
@@ -361,6 +384,35 @@
     }
 }
 
+/// Sends the request to a target and waits for the head of a response that can be
+/// relayed. A stream that isn't the target's own counts as a lost response: the
+/// request may have run, and its connection is closed so that the target stops.
+///
+/// # Errors
+///
+/// Returns the gateway's own response if there is no such response.
+async fn open_stream(
+    sender: &mut TargetSender<'_>,
+    mut resume_point: Option<&mut ResumePoint<'_>>,
+) -> Result<TargetExchange, GatewayResponse> {
+    loop {
+        let exchange = sender.open_exchange(resume_point.as_deref_mut()).await?;
+        let defect = response_defect(&exchange.head).filter(|_| is_event_stream(&exchange));
+        let Some(defect) = defect else {
+            return Ok(exchange);
+        };
+        let (shared, request) = (sender.shared, sender.request);
+        slog::warn!(shared.log, "request: Stream of the target is unusable.";
+            "request" => &request.id, "target" => %exchange.record().id, "error" => defect);
+        drop(exchange);
+        sender.history.record_may_have_run();
+        sender.end_assignment(PromptStep::Failed);
+        if !sender.may_repeat().await {
+            return Err(sender.failure_response("target_failed"));
+        }
+    }
+}
+
 /// Runs the stages of a request before it is first sent. With `rerun_deadline`
 /// they run again, for a stream that is resumed and needs their results by then.
 async fn run_stages(
@@ -383,6 +435,7 @@
         shared,
         config: &request.config,
         route: &request.route,
+        workspace: request.workspace.as_ref(),
         request: &request.id,
         key: fields.text(headers::PIECE_KEY).unwrap_or_default(),
         pieces: &pieces,
--- a/crates/gateway/src/front/target_sender.rs
+++ b/crates/gateway/src/front/target_sender.rs
@@ -1,4 +1,4 @@
-use std::sync::Arc;
+use std::{pin::pin, sync::Arc};
 
 use verbenahub_core::{
     clock::TimeSpan,
@@ -15,6 +15,7 @@
     answer_phase::AnswerPhase,
     forward_headers::{ForwardExtras, forward_headers},
     gateway_response::MAX_RETRY_AFTER,
+    resume_point::ResumePoint,
 };
 use crate::{
     engines::EngineAssignment,
@@ -38,6 +39,10 @@
 /// Timeout for the body of a refusal. It arrives at once or isn't worth waiting
 /// for, since it is only read so that the connection can be reused.
 const REFUSAL_TIMEOUT: TimeSpan = TimeSpan::from_millis(100);
+/// How long the connection of a silent stream is kept after the stream was sent to
+/// another target, in case that one refuses it. A target must have stopped 400 ms after
+/// the next one has begun; the rest is for the close to reach it.
+const RESUME_OVERLAP: TimeSpan = TimeSpan::from_millis(250);
 /// Random addition to `Retry-After`, so that callers that are refused at the same
 /// time don't all retry at the same time.
 const RETRY_JITTER_PERCENT: u64 = 30;
@@ -66,6 +71,8 @@
     crashes: usize,
     /// Engine that the choosing node assigned to the prompt, if any.
     assignment: Option<EngineAssignment>,
+    /// Whether a chosen target had no permit left.
+    is_over_limit: bool,
 }
 
 impl<'a> TargetSender<'a> {
@@ -78,6 +85,7 @@
             results: Vec::new(),
             crashes: 0,
             assignment: None,
+            is_over_limit: false,
         }
     }
 
@@ -119,8 +127,7 @@
             return false;
         }
         let mut candidates = self.shared.ready_targets(&self.request.service);
-        let (limits, now) = (self.shared.limits.borrow(), self.shared.now());
-        candidates.retain(|record| limits.limit_of(record, now).is_none());
+        candidates.retain(|record| self.shared.request_limit(record).is_none());
         let loads = self.shared.loads.borrow();
         loads.choose(&candidates, &self.choice_ask()).is_some()
     }
@@ -139,14 +146,16 @@
     }
 
     /// Sends the request to the best target and waits for the head of the
-    /// response. Retries at other targets where that is allowed.
+    /// response. Retries at other targets where that is allowed. With a
+    /// `resume_point`, the previous exchange is open afterwards only if no target
+    /// can have run the request since.
     ///
     /// # Errors
     ///
     /// Returns the gateway's own response if no target accepts the request.
     pub(super) async fn open_exchange(
         &mut self,
-        last_event: Option<&str>,
+        mut resume_point: Option<&mut ResumePoint<'_>>,
     ) -> Result<TargetExchange, GatewayResponse> {
         let mut denials = 0;
         loop {
@@ -154,19 +163,23 @@
             let Some(record) = self.choose_target().await else {
                 return Err(self.no_target_response());
             };
-            let Ok(permit) = self.acquire_permit(&record).await else {
-                self.end_assignment(PromptStep::Ended);
-                denials += 1;
-                if denials >= MAX_DENIALS {
-                    return Err(self.no_target_response());
+            let permit = match self.acquire_permit(&record).await {
+                Ok(permit) => permit,
+                Err(reason) => {
+                    self.end_assignment(PromptStep::Ended);
+                    self.is_over_limit |= matches!(reason, PermitDenied::OverLimit { .. });
+                    denials += 1;
+                    if denials >= MAX_DENIALS {
+                        return Err(self.no_target_response());
+                    }
+                    continue;
                 }
-                continue;
             };
             if let Err(response) = self.check_quarantine() {
                 self.end_assignment(PromptStep::Ended);
                 return Err(response);
             }
-            match self.attempt(permit, last_event).await {
+            match self.attempt(permit, resume_point.as_deref_mut()).await {
                 Ok(exchange) => {
                     let refused = exchange.head.headers.get(headers::NOT_RUN).is_some();
                     if !refused {
@@ -260,7 +273,20 @@
         let service = &self.request.service;
         let least = self.closed_for(&candidates).unwrap_or_default();
         let wait = self.shared.assign_return(service, rate, least, left);
-        GatewayResponse::over_limit(proof, wait)
+        GatewayResponse::over_limit(proof, self.until_warm(&candidates, wait))
+    }
+
+    /// Shortens the wait of a rejected caller for its turn at cold targets to not much
+    /// after the first of them is warm. From then on it takes many more requests.
+    fn until_warm(&self, candidates: &[Arc<TargetRecord>], wait: TimeSpan) -> TimeSpan {
+        let limits = candidates
+            .iter()
+            .filter_map(|record| self.shared.request_limit(record));
+        let warm_in = limits.map(|limit| limit.retry_after(wait)).min();
+        let warm_in = warm_in.unwrap_or(wait);
+        let later = wait.saturating_sub(warm_in).as_millis();
+        let most_extra = later * RETRY_JITTER_PERCENT / 100;
+        warm_in + TimeSpan::from_millis(self.shared.random() % (most_extra + 1))
     }
 
     /// Rejects a request whose targets are all closed for longer than it can wait
@@ -358,14 +384,14 @@
     async fn attempt(
         &mut self,
         permit: SendPermit,
-        last_event: Option<&str>,
+        resume_point: Option<&mut ResumePoint<'_>>,
     ) -> Result<TargetExchange, SendError> {
         let record = &Arc::clone(permit.record());
         let request = self.request;
         let left = request.time_left(self.shared.now());
         let extras = ForwardExtras {
             inputs: self.inputs.as_deref(),
-            last_event,
+            last_event: resume_point.as_ref().and_then(|point| point.last_event),
         };
         let call = TargetCall {
             method: &request.head.method,
@@ -381,8 +407,11 @@
         if self.history.send_count() == 1 {
             self.shared.retry_budget.earn();
         }
+        if let Some(assignment) = &mut self.assignment {
+            assignment.record_send();
+        }
         let begun = self.shared.now();
-        let result = TargetExchange::begin(self.shared, permit, call).await;
+        let result = self.begin_exchange(permit, call, resume_point).await;
         let end = match &result {
             Ok(exchange) => exchange.head.status.to_string(),
             Err(error) => error.to_string(),
@@ -393,11 +422,15 @@
         let attempts = &self.shared.metrics.attempts;
         let service = request.service.as_str();
         attempts.with_label_values(&[service, label]).inc();
+        let pace = self.assignment.as_ref().and_then(EngineAssignment::pace);
         slog::info!(self.shared.log, "request: Attempt ended.";
             "request" => &request.id, "target" => %record.id, "zone" => %record.zone,
             "attempt" => self.history.try_count(), "end" => end,
             "targets_revision" => %record.revision, "left" => %left,
             "chooser" => self.assignment.as_ref().map(|assignment| assignment.chooser().to_string()),
+            "pace_percent" => pace.map(|pace| pace.percent),
+            "lasting_pace_percent" => pace.map(|pace| pace.lasting_percent),
+            "pace_age_ms" => pace.and_then(|pace| pace.age).map(TimeSpan::as_millis),
             "took" => %self.shared.now().since(begun));
         if let Err(SendError::ConnectionLost(reason)) = &result {
             self.record_broken_answer(record, AnswerPhase::Sent, reason);
@@ -405,6 +438,36 @@
         result
     }
 
+    /// Sends a call. The previous exchange of a stream that is resumed is closed
+    /// unless the target refuses the call or can't be reached, and in any case
+    /// [`RESUME_OVERLAP`] after it was sent.
+    async fn begin_exchange(
+        &self,
+        permit: SendPermit,
+        call: TargetCall<'_>,
+        resume_point: Option<&mut ResumePoint<'_>>,
+    ) -> Result<TargetExchange, SendError> {
+        let begin = TargetExchange::begin(self.shared, permit, call);
+        let Some(point) = resume_point else {
+            return begin.await;
+        };
+        let mut begin = pin!(begin);
+        let result = if let Some(result) = within(RESUME_OVERLAP, begin.as_mut()).await {
+            result
+        } else {
+            point.previous.close();
+            begin.await
+        };
+        let is_not_run = match &result {
+            Ok(exchange) => exchange.head.headers.get(headers::NOT_RUN).is_some(),
+            Err(error) => error.is_not_run(),
+        };
+        if !is_not_run {
+            point.previous.close();
+        }
+        result
+    }
+
     /// Records that the request waits again if it is certain that no target has it.
     fn update_progress(&self) {
         if self.history.prove_not_run().is_some() {
@@ -476,7 +539,7 @@
         let Some((key, ask)) = self.engine_ask() else {
             return self.choose_locally();
         };
-        let candidates = self.shared.ready_targets(&self.request.service);
+        let candidates = self.candidates();
         let engines = &self.shared.engines;
         self.assignment = engines.choose(self.shared, &key, &ask, &candidates).await;
         match &self.assignment {
@@ -495,21 +558,44 @@
         let key = shared
             .last()
             .map_or_else(|| request.id.clone(), |part| format!("{:016x}", part.hash));
-        let candidates = self.shared.ready_targets(&request.service);
+        let ready = self.shared.ready_targets(&request.service);
+        let candidates = self.candidates();
+        let left_out = ready.iter().filter(|record| !candidates.contains(record));
         let loads = self.shared.loads.borrow();
+        let mut avoid = loads.unusable(&candidates, &self.choice_ask());
+        avoid.extend(left_out.map(|record| record.id.clone()));
         let ask = EngineQuery {
             service: request.service.clone(),
             request: request.id.clone(),
             shared: shared.to_vec(),
             own: own.tokens,
             results: self.results.clone(),
-            avoid: loads.unusable(&candidates, &self.choice_ask()),
+            avoid,
         };
         Some((key, ask))
     }
 
+    /// Targets among which the request's is chosen. Once a target had no permit left,
+    /// those without a limit, if one of them is usable: when all targets of a zone
+    /// start, idle and cold, the request would be denied by one after the other.
+    fn candidates(&self) -> Vec<Arc<TargetRecord>> {
+        let ready = self.shared.ready_targets(&self.request.service);
+        if !self.is_over_limit {
+            return ready;
+        }
+        let unlimited = ready.iter();
+        let unlimited = unlimited.filter(|record| self.shared.request_limit(record).is_none());
+        let unlimited: Vec<_> = unlimited.cloned().collect();
+        let loads = self.shared.loads.borrow();
+        if loads.choose(&unlimited, &self.choice_ask()).is_some() {
+            unlimited
+        } else {
+            ready
+        }
+    }
+
     fn choose_locally(&self) -> Option<Arc<TargetRecord>> {
-        let candidates = self.shared.ready_targets(&self.request.service);
+        let candidates = self.candidates();
         let ask = self.choice_ask();
         self.shared.loads.borrow().choose(&candidates, &ask)
     }
--- a/crates/gateway/src/targets/target_exchange.rs
+++ b/crates/gateway/src/targets/target_exchange.rs
@@ -65,6 +65,12 @@
     /// Whether the target has sent a response that belongs to no call on this
     /// connection.
     had_stray: bool,
+    /// Whether the connection was used for other calls before.
+    is_reused: bool,
+    /// Whether the connection is held back at the end of the response.
+    is_held_back: bool,
+    /// Connection that was held back.
+    held_back: Option<HttpStream>,
     in_flight: InFlightCall,
 }
 
@@ -120,6 +126,7 @@
                     head,
                     framing,
                     had_stray,
+                    is_reused,
                 } = received;
                 record_load(shared, record, &head);
                 if head.headers.text(headers::LEAVING).is_some_and(is_flag_set) {
@@ -136,6 +143,9 @@
                     reader: BodyReader::new(framing),
                     framing,
                     had_stray,
+                    is_reused,
+                    is_held_back: false,
+                    held_back: None,
                     in_flight,
                 })
             }
@@ -244,6 +254,40 @@
         self.framing == BodyFraming::UntilClose
     }
 
+    /// Closes the connection, so that the target stops working on the call.
+    pub fn close(&mut self) {
+        self.stream = None;
+        self.held_back = None;
+    }
+
+    /// Whether the connection is open and the response has not ended.
+    #[must_use]
+    pub const fn is_open(&self) -> bool {
+        self.stream.is_some()
+    }
+
+    /// Whether the connection was used for other calls before, so that the response
+    /// may be a late copy of an earlier one.
+    #[must_use]
+    pub const fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+
+    /// Holds the connection back at the end of the response. It is closed with the
+    /// exchange unless [`Self::release_connection`] is called.
+    pub const fn hold_connection(&mut self) {
+        self.is_held_back = true;
+    }
+
+    /// Keeps the connection that was held back for the next call. The caller must be
+    /// certain that the response belongs to this call: otherwise the response to this
+    /// call has yet to arrive on the connection, and would be taken for the next one's.
+    pub fn release_connection(&mut self) {
+        if let Some(stream) = self.held_back.take() {
+            self.keep(stream);
+        }
+    }
+
     /// Sets the outcome that is recorded for the target, whatever the response.
     pub fn set_outcome(&mut self, outcome: CallOutcome) {
         self.in_flight.outcome = outcome;
@@ -261,11 +305,18 @@
             return;
         };
         if self.framing != BodyFraming::UntilClose && !self.had_stray {
-            let now = self.shared.now();
-            let pool = &self.shared.idle_connections;
-            pool.put(&self.record.id, stream, &self.head, now);
+            if self.is_held_back {
+                self.held_back = Some(stream);
+            } else {
+                self.keep(stream);
+            }
         }
     }
+
+    fn keep(&self, stream: HttpStream) {
+        let pool = &self.shared.idle_connections;
+        pool.put(&self.record.id, stream, &self.head, self.shared.now());
+    }
 }
 
 async fn connect(
@@ -308,6 +359,8 @@
     framing: BodyFraming,
     /// Whether responses to other calls came before it.
     had_stray: bool,
+    /// Whether the connection was used for other calls before.
+    is_reused: bool,
 }
 
 /// Reads the head of the response to a request. Late responses to earlier
@@ -338,6 +391,7 @@
                 head,
                 framing,
                 had_stray: strays > 0,
+                is_reused,
             });
         }
         let stray = BodyReader::new(framing);
@@ -353,23 +407,14 @@
     let Some(text) = head.headers.text(headers::LOAD) else {
         return;
     };
-    let mut numbers = text.split(',').map(|number| number.trim().parse().ok());
-    let mut next = || numbers.next().flatten();
-    if let (Some(running), Some(waiting), Some(slots)) = (next(), next(), next()) {
-        let report = LoadReport {
-            running,
-            waiting,
-            slots,
-            at: shared.now(),
-        };
+    if let Some(report) = LoadReport::decode(text, shared.now()) {
         shared.loads.borrow_mut().report(&record.id, report);
     }
 }
 
-/// Logs and counts a call to a target that has named a limit.
+/// Logs and counts a call to a target that has a limit.
 fn log_limited_send(shared: &Shared, record: &TargetRecord, call: &TargetCall<'_>) {
-    let limited = shared.limits.borrow().limit_of(record, shared.now());
-    let Some((limit, age)) = limited else {
+    let Some(limited) = shared.request_limit(record) else {
         return;
     };
     let purpose = call.purpose.label();
@@ -379,7 +424,8 @@
         .inc();
     slog::info!(shared.log, "targets: Sent to a limited target.";
         "target" => %record.id, "service" => %record.service, "purpose" => purpose,
-        "request" => call.request.map(str::to_owned), "limit" => %limit, "limit_age" => %age);
+        "request" => call.request.map(str::to_owned), "limit" => %limited.limit, "cold_left" => %limited.cold_left,
+        "limit_age" => limited.named_age.map(|age| age.to_string()));
 }
 
 /// Records the limit that a response names. Only complete work shows that a limit
