Fix what a review of the new parts found

- Each prompt compared all engines with each other to find those left out, 10,000 comparisons at 140 engines, though nothing is left out unless a permit was denied.
The list is now made only then, by identifiers.
- A stream that was kept after another engine had refused it reported its progress for that engine.
- A caller rejected while all targets are cold could be told a time before the pause that they had asked for.
- The end of an evacuation that a node learns from a listing counted as of the listing, so a node that had been away made the zone's targets cold again for all.
It now counts as of the start that it ends.
- Sums of expected tokens saturate.
- The replay of engines read prompts above the slots at once; they now wait for a stream to end.
All bounds of engine_paces hold without a change.
- The test of workspaces also fails if the large one is worse off; its bound holds.

Ruled out: no speed samples from requests that wait for a slot. A slow engine is full most of the time, and the replay's slow-down was then not noticed. Not changed: connections of calls that free results are still reused after any response, and connecting to the next engine may take longer than the overlap of a resumed stream.

evacuated_zones, evacuation, cold_targets, streams, target_limits, engine_paces and stage_load pass.

--- a/crates/core/src/engines/prompt_scheduler.rs
+++ b/crates/core/src/engines/prompt_scheduler.rs
@@ -298,9 +298,9 @@
             let excess = (state.request_count + 1).saturating_sub(record.slots);
             let is_full = excess > self.allowed_excess();
             let wait = self.slot_wait_tokens(excess, record.slots);
-            let tokens = state.pending_tokens + **uncached + query.own.get() + wait;
-            let cost =
-                self.paced_tokens(tokens, state) + recomputed * RECOMPUTE_WEIGHT + remote_tokens;
+            let tokens = state.pending_tokens + **uncached + query.own.get();
+            let paced = self.paced_tokens(tokens.saturating_add(wait), state);
+            let cost = paced.saturating_add(recomputed * RECOMPUTE_WEIGHT + remote_tokens);
             // Ties go to the highest score, so that a prompt always prefers
             // equal engines in the same order.
             (is_full, cost, !**score)
--- a/crates/core/src/targets/evacuated_zones.rs
+++ b/crates/core/src/targets/evacuated_zones.rs
@@ -38,11 +38,15 @@
             .is_some_and(|state| state.is_evacuated)
     }
 
-    /// Whether a notice is of a later revision than what is known of its zone.
+    /// Whether a notice changes what is known of its zone: it is of a later revision, or
+    /// ends the evacuation that began at the same one.
     #[must_use]
     pub fn is_news(&self, notice: &ZoneNotice) -> bool {
         let known = self.states.get(&notice.zone);
-        known.is_none_or(|known| notice.revision > known.revision)
+        known.is_none_or(|known| {
+            let is_end = known.is_evacuated && !notice.is_evacuated;
+            notice.revision > known.revision || (is_end && notice.revision == known.revision)
+        })
     }
 
     /// Applies notices from the store or from another node. Returns those that start
@@ -51,10 +55,8 @@
         let mut changes = Vec::new();
         for notice in notices {
             let known = self.states.get(&notice.zone).copied();
-            let is_newer = known.map_or(self.states.len() < MAX_ZONES, |known| {
-                notice.revision > known.revision
-            });
-            if !is_newer {
+            let has_room = known.is_some() || self.states.len() < MAX_ZONES;
+            if !has_room || !self.is_news(&notice) {
                 continue;
             }
             let state = ZoneState {
@@ -71,7 +73,9 @@
 
     /// Applies a listing of all evacuations as of `revision`: those of the same era
     /// that it lacks have ended. Returns the notices that start or end an
-    /// evacuation.
+    /// evacuation. When such an end was, is unknown, so it counts as of the revision
+    /// of the start: a node that learns of it late must not tell it as news to the
+    /// nodes that have known the end.
     pub fn replace(
         &mut self,
         mut listed: Vec<ZoneNotice>,
@@ -80,13 +84,14 @@
         let ended = self.states.iter().filter(|(zone, state)| {
             state.is_evacuated
                 && state.revision.era == revision.era
+                && state.revision <= revision
                 && !listed.iter().any(|notice| notice.zone == **zone)
         });
         let ended: Vec<ZoneNotice> = ended
-            .map(|(zone, _)| ZoneNotice {
+            .map(|(zone, state)| ZoneNotice {
                 zone: zone.clone(),
                 is_evacuated: false,
-                revision,
+                revision: state.revision,
             })
             .collect();
         listed.extend(ended);
--- a/crates/core/tests/engine_simulation/mod.rs
+++ b/crates/core/tests/engine_simulation/mod.rs
@@ -34,8 +34,9 @@
 const NEWS_MILLIS: f64 = 5.0;
 /// Way from a node to an engine and back.
 const WAY_MILLIS: f64 = 2.0;
-/// Number of slots of an engine.
+/// Number of slots of an engine. A request above them waits for the end of a stream.
 const SLOTS: u32 = 12;
+const SLOT_COUNT: usize = SLOTS as usize;
 /// Largest deviation of a chunk's or step's duration, as a share of it.
 const NOISE: f64 = 0.2;
 /// Slow-downs: factor, duration, and interval in which each engine has one. An
@@ -325,7 +326,8 @@
         };
         let noise = 1.0 + NOISE * (2.0 * rng.f64() - 1.0);
         let pace = slowness * noise / self.speed;
-        if self.prompts.is_empty() || (self.decodes_next && !self.streams.is_empty()) {
+        let cannot_read = self.prompts.is_empty() || self.streams.len() >= SLOT_COUNT;
+        if cannot_read || (self.decodes_next && !self.streams.is_empty()) {
             self.decodes_next = false;
             self.free_at += STEP_MILLIS * pace;
             self.advance_streams(number, news, result);
@@ -335,6 +337,7 @@
         let mut room = CHUNK_TOKENS;
         let mut begun = Vec::new();
         while room > 0
+            && self.streams.len() + begun.len() < SLOT_COUNT
             && let Some(prompt) = self.prompts.front_mut()
         {
             let is_cached = self.cached.contains(&prompt.prompt);
--- a/crates/core/tests/evacuated_zones.rs
+++ b/crates/core/tests/evacuated_zones.rs
@@ -47,7 +47,16 @@
     zones.merge(vec![notice("b", true, revision(0, 12))]);
     let listed = vec![notice("b", true, revision(0, 12))];
     let changes = zones.replace(listed, revision(0, 40));
-    assert_eq!(changes, [notice("a", false, revision(0, 40))]);
+    assert_eq!(changes, [notice("a", false, revision(0, 10))]);
+    // Another node that has seen the end itself learns nothing from it.
+    let mut other = EvacuatedZones::default();
+    other.merge(vec![notice("a", false, revision(0, 15))]);
+    assert_eq!(
+        other.merge(zones.notices())[..1],
+        [notice("b", true, revision(0, 12))]
+    );
+    // Nor does a notice of the start that arrives late begin the evacuation again.
+    assert_eq!(zones.merge(vec![notice("a", true, revision(0, 10))]), []);
     // A listing that was read before the evacuation began says nothing about it.
     zones.merge(vec![notice("c", true, revision(0, 50))]);
     assert_eq!(zones.replace(Vec::new(), revision(0, 45)).len(), 1);
--- a/crates/core/tests/stage_load.rs
+++ b/crates/core/tests/stage_load.rs
@@ -275,7 +275,10 @@
     let result = StageSimulation::new(services, kinds, Vec::new(), 12_000, 1).run();
     let [large, small, other] = [0, 1, 2].map(|kind| burst_share(&result, kind));
     for share in [small, other] {
-        assert!(share >= large - WORKSPACE_GAP, "{large} {small} {other}");
+        assert!(
+            (share - large).abs() <= WORKSPACE_GAP,
+            "{large} {small} {other}"
+        );
     }
 }
 
--- a/crates/gateway/src/front/stream_flow.rs
+++ b/crates/gateway/src/front/stream_flow.rs
@@ -178,6 +178,8 @@
         }
         let is_kept = self.exchange.is_open();
         if is_kept {
+            // The engine that was chosen instead has not taken the request.
+            self.sender.end_assignment(PromptStep::Ended);
             if self.last_event.is_some() {
                 self.result_guard = None;
             }
--- a/crates/gateway/src/front/target_sender.rs
+++ b/crates/gateway/src/front/target_sender.rs
@@ -1,9 +1,9 @@
-use std::{pin::pin, sync::Arc};
+use std::{collections::BTreeSet, pin::pin, sync::Arc};
 
 use verbenahub_core::{
     clock::TimeSpan,
     engines::{EngineQuery, PromptStep, ZoneResults},
-    ids::ZoneName,
+    ids::{TargetId, ZoneName},
     policy::health::CallOutcome,
     routes::{RouteKind, SendHistory},
     targets::{TargetCriteria, TargetRecord},
@@ -284,6 +284,11 @@
             .filter_map(|record| self.shared.request_limit(record));
         let warm_in = limits.map(|limit| limit.retry_after(wait)).min();
         let warm_in = warm_in.unwrap_or(wait);
+        // A target that has asked for a pause takes no request before its end.
+        let (loads, now) = (self.shared.loads.borrow(), self.shared.now());
+        let pauses = candidates.iter();
+        let pauses = pauses.map(|record| loads.requested_backoff(record, now));
+        let warm_in = warm_in.max(pauses.min().unwrap_or_default()).min(wait);
         let later = wait.saturating_sub(warm_in).as_millis();
         let most_extra = later * RETRY_JITTER_PERCENT / 100;
         warm_in + TimeSpan::from_millis(self.shared.random() % (most_extra + 1))
@@ -558,12 +563,17 @@
         let key = shared
             .last()
             .map_or_else(|| request.id.clone(), |part| format!("{:016x}", part.hash));
-        let ready = self.shared.ready_targets(&request.service);
         let candidates = self.candidates();
-        let left_out = ready.iter().filter(|record| !candidates.contains(record));
-        let loads = self.shared.loads.borrow();
-        let mut avoid = loads.unusable(&candidates, &self.choice_ask());
-        avoid.extend(left_out.map(|record| record.id.clone()));
+        let mut avoid = {
+            let loads = self.shared.loads.borrow();
+            loads.unusable(&candidates, &self.choice_ask())
+        };
+        if self.is_over_limit {
+            let used: BTreeSet<&TargetId> = candidates.iter().map(|record| &record.id).collect();
+            let ready = self.shared.ready_targets(&request.service);
+            let left_out = ready.iter().filter(|record| !used.contains(&record.id));
+            avoid.extend(left_out.map(|record| record.id.clone()));
+        }
         let ask = EngineQuery {
             service: request.service.clone(),
             request: request.id.clone(),
