--- a/crates/core/tests/engine_paces.rs
+++ b/crates/core/tests/engine_paces.rs
@@ -23,8 +23,8 @@
 /// Seeds of the replays.
 const SEEDS: RangeInclusive<u64> = 1..=6;
 /// Time in which each engine should get a request, so that a recovery is noticed
-/// within the shortest deadlines of callers.
-const PROBE_MILLIS: u64 = 5_000;
+/// within a second or two.
+const PROBE_MILLIS: u64 = 2_000;
 
 /// A minute of load on engines of three speeds, of which 15 in 100 slow down.
 fn simulate_uneven(is_learning: bool, seed: u64) -> SimulationResult {
