--- /dev/null
+++ b/crates/gateway/tests/odd_entries.rs
@@ -0,0 +1,125 @@
+//! Entries of another writer in the platform's store, under names and with contents
+//! that name no target. All other entries must stay in force.
+
+mod support;
+
+use serde_json::json;
+use support::{
+    CallerRequest, GatewayProcess, any_port, default_store, register, target_record, wait_for,
+};
+use verbenahub_platform_standin::{PlainTarget, RawCall, RawReply, RunLog, StoreServer};
+
+/// Names of entries with characters that have a meaning in a URL or in HTTP, or that
+/// look like an encoded name.
+const ODD_NAMES: &[&str] = &[
+    "m&n",
+    "m+n",
+    "m#n",
+    "m%n",
+    "m n",
+    "m%20n",
+    "m%41n",
+    "m%7En",
+    "m&After=op/",
+    "m&Prefix=none",
+    "m=n?o/p",
+    "m\"n\\o",
+    "m\r\nn: o",
+    "m\u{0}n",
+    "m\u{e9}\u{4e16}\u{1f600}n",
+    "",
+    " ",
+];
+/// Number of entries that fill more than a page of the store.
+const ENTRY_COUNT: usize = 6;
+
+fn reply_done(call: &RawCall) -> RawReply {
+    PlainTarget::signed(call, "200 OK", b"done")
+}
+
+fn start_target(store: &StoreServer, log: &RunLog, id: &str) -> PlainTarget {
+    let target = PlainTarget::start(any_port(), id, log, reply_done).expect("the target starts");
+    register(store, id, "desk", target.server().address());
+    target
+}
+
+/// Starts targets whose names are sorted before, among and after those of the odd
+/// entries. The first four keys of the store leave room for one more on its first page.
+fn start_targets_around(store: &StoreServer, log: &RunLog) -> Vec<PlainTarget> {
+    let ids = ["a0", "a1", "a2", "mm", "z0", "z1", "z2", "z3"];
+    ids.iter().map(|id| start_target(store, log, id)).collect()
+}
+
+fn assert_serves(gateway: &GatewayProcess, case: &str) {
+    for number in 0..8 {
+        let request = CallerRequest::new("GET", "/look/a", &format!("r{number}"));
+        let status = request.fetch(gateway.caller_address).status;
+        assert_eq!(status, 200, "{case:?}");
+    }
+}
+
+/// All gateways start while the entry stands, and each has to list the store to learn
+/// the configuration.
+#[test]
+fn gateways_start_while_an_entry_with_an_odd_name_stands() {
+    for name in ODD_NAMES {
+        let store = default_store();
+        let log = RunLog::default();
+        let targets = start_targets_around(&store, &log);
+        for number in 0..ENTRY_COUNT {
+            store.put(
+                &format!("servers/{name}{number}"),
+                &json!({ "Note": "not a target" }),
+            );
+        }
+        let gateways = GatewayProcess::start_fleet(2, store.address());
+        for gateway in &gateways {
+            gateway.wait_log_line(|line| line["targets"] == targets.len());
+            assert_serves(gateway, name);
+        }
+    }
+}
+
+/// The record is complete, but its name is not one that a target can have.
+#[test]
+fn complete_record_under_an_odd_name_names_no_target() {
+    for name in ODD_NAMES {
+        let store = default_store();
+        let log = RunLog::default();
+        let targets = start_targets_around(&store, &log);
+        let odd = RunLog::default();
+        let other = PlainTarget::start(any_port(), name, &odd, reply_done);
+        let other = other.expect("the target starts");
+        let key = format!("servers/{name}");
+        store.put(&key, &target_record("desk", other.server().address()));
+        let gateway = GatewayProcess::start_ready("n1", store.address());
+        gateway.wait_log_line(|line| line["targets"] == targets.len());
+        assert_serves(&gateway, name);
+        assert_eq!(odd.runs(), [], "{name:?}");
+    }
+}
+
+/// Entries with odd names fill several pages, and they change while gateways run.
+#[test]
+fn pages_of_entries_with_odd_names_are_read_completely() {
+    let store = default_store();
+    let log = RunLog::default();
+    let targets = start_targets_around(&store, &log);
+    for name in ODD_NAMES {
+        store.put(&format!("servers/{name}"), &json!({ "Note": 1 }));
+        store.put(&format!("op/evacuate/{name}"), &json!({}));
+        store.put(&format!("other/{name}"), &json!({}));
+    }
+    let gateway = GatewayProcess::start_ready("n1", store.address());
+    gateway.wait_log_line(|line| line["targets"] == targets.len());
+    assert_serves(&gateway, "pages");
+    for name in ODD_NAMES {
+        store.put(&format!("servers/{name}"), &json!({ "Note": 2 }));
+        store.remove(&format!("op/evacuate/{name}"));
+    }
+    let _later = start_target(&store, &log, "late");
+    gateway.wait_log_line(|line| line["targets"] == targets.len() + 1);
+    let calls = store.call_count();
+    wait_for("the next watch", || store.call_count() > calls);
+    assert_serves(&gateway, "changes");
+}
