End a listing of the store whose pages are repeated

Cause: the reader relied on each page to begin after the last one. It kept no record of the keys after which it had read and went on while the store said that more follows.

Evidence: listing_whose_pages_are_repeated_fails_and_is_tried_again, with a stand-in that answers each read with the first page. Before, it timed out: no error was logged.

Change: the pages are collected by StoreListing, which fails when a page would begin after a key that was used before, also when an empty page claims that more follows. The listing is then tried again with the backoff of other failures, and the last complete one stays in force. The order of keys isn't presumed.

--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -3,6 +3,7 @@
 
 mod store_client;
 mod store_error;
+mod store_listing;
 mod store_reader;
 mod store_sync;
 
--- a/crates/gateway/src/store/store_error.rs
+++ b/crates/gateway/src/store/store_error.rs
@@ -23,6 +23,9 @@
     /// The response is from before a restore of the store that is already known.
     #[error("response from before the last restore")]
     StaleEra,
+    /// The store repeats a page of a listing instead of continuing after it.
+    #[error("a page of the listing was repeated")]
+    RepeatedPage,
     /// The body of the response can't be decoded.
     #[error(transparent)]
     Wire(#[from] WireError),
--- a/crates/gateway/src/store/store_reader.rs
+++ b/crates/gateway/src/store/store_reader.rs
@@ -11,7 +11,7 @@
     paths, removed_target,
 };
 
-use super::{StoreClient, StoreError};
+use super::{StoreClient, StoreError, store_listing::StoreListing};
 use crate::process::Shared;
 
 /// How long a watch waits for a change. It limits how long an unresponsive
@@ -104,28 +104,16 @@
     }
 
     async fn list(&mut self) -> Result<StoreRevision, StoreError> {
-        let mut items: Vec<StoreItem> = Vec::new();
-        let mut revision = None;
+        let mut listing = StoreListing::default();
         loop {
-            let last = items.last().map(|item| item.key.clone());
-            let page = self
-                .client
-                .read_page(paths::ALL_KEYS, last.as_deref())
-                .await?;
+            let read = self.client.read_page(paths::ALL_KEYS, listing.cursor());
+            let page = read.await?;
             self.record_answer();
-            // The pages may be of different revisions. The watch starts at the
-            // revision of the first page and repeats changes made since then, but
-            // not changes made by a restore.
-            let first = *revision.get_or_insert(page.revision);
-            if page.revision.era != first.era {
-                return Err(StoreError::Restored);
-            }
-            items.extend(page.items);
-            if !page.has_more {
+            if !listing.push(page)? {
                 break;
             }
         }
-        let revision = revision.unwrap_or_default();
+        let (items, revision) = listing.into_items();
         self.check_era(revision)?;
         for item in &items {
             self.apply_config(item);
--- a/crates/gateway/tests/odd_entries.rs
+++ b/crates/gateway/tests/odd_entries.rs
@@ -7,7 +7,9 @@
 use support::{
     CallerRequest, GatewayProcess, any_port, default_store, register, target_record, wait_for,
 };
-use verbenahub_platform_standin::{PlainTarget, RawCall, RawReply, RunLog, StoreServer};
+use verbenahub_platform_standin::{
+    PlainTarget, RawCall, RawReply, RunLog, StoreFault, StoreServer,
+};
 
 /// Names of entries with characters that have a meaning in a URL or in HTTP, or that
 /// look like an encoded name.
@@ -123,3 +125,24 @@
     wait_for("the next watch", || store.call_count() > calls);
     assert_serves(&gateway, "changes");
 }
+
+/// The store doesn't find the key after which a page begins. The listing fails instead
+/// of collecting the same page without end, and is tried again.
+#[test]
+fn listing_whose_pages_are_repeated_fails_and_is_tried_again() {
+    let store = default_store();
+    let log = RunLog::default();
+    let targets = start_targets_around(&store, &log);
+    store.set_fault(StoreFault::FirstPage);
+    let gateway = GatewayProcess::start("n1", store.address(), &[]);
+    gateway.wait_log_line(|line| line["error"] == "a page of the listing was repeated");
+    assert!(!gateway.is_ready());
+    store.set_fault(StoreFault::None);
+    gateway.wait_ready();
+    gateway.wait_log_line(|line| line["targets"] == targets.len());
+    assert_serves(&gateway, "the listing is complete");
+    store.set_fault(StoreFault::FirstPage);
+    store.compact();
+    gateway.wait_log_line(|line| line["msg"] == "store: Contact lost.");
+    assert_serves(&gateway, "the targets of the last listing");
+}
