Take no answer as complete whose upload failed

Callers saw: a target answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being written.

Cause: the kernel reports a reset once. The write of the request was told of it and its error was dropped, since a target may answer before it has read the whole request. The read after it returned the bytes that had come before and then 0, like an orderly end, which ends a body without a length.

Change: a connection remembers that a write on it has failed. A read that finds its end afterwards fails as a reset, for heads and bodies of any framing, so the decision is in one place and holds for streams, stage calls, other nodes and the store as well. An answer with a length or in chunks that is complete before the reset is still relayed. An answer without a length to an upload that failed is never complete: after a failed write an orderly end can't be told from a reset.

Ruled out: other calls that can take the report of a reset from the reader. Idle connections that are peeked at and report an error are not used again; the others peek at connections of callers, whose requests always have a length or chunks.

--- a/crates/gateway/src/http/http_stream.rs
+++ b/crates/gateway/src/http/http_stream.rs
@@ -1,4 +1,5 @@
 use std::{
+    cell::Cell,
     io::{self, Read},
     net::{SocketAddr, TcpStream},
     time::Duration,
@@ -37,6 +38,8 @@
     pub(super) buffer: BytesMut,
     /// Reads since the last one that had to wait, or since the task last yielded.
     ready_reads: u32,
+    /// Whether a write has failed, and with it the connection.
+    is_broken: Cell<bool>,
 }
 
 impl HttpStream {
@@ -52,6 +55,7 @@
             socket,
             buffer: BytesMut::new(),
             ready_reads: 0,
+            is_broken: Cell::new(false),
         })
     }
 
@@ -70,7 +74,9 @@
     ///
     /// Fails when the connection fails.
     pub async fn write(&self, bytes: &[u8]) -> io::Result<()> {
-        (&self.socket).write_all(bytes).await
+        let written = (&self.socket).write_all(bytes).await;
+        self.is_broken.set(self.is_broken.get() || written.is_err());
+        written
     }
 
     /// Reads the head of the next request. Returns `None` if the connection was
@@ -185,6 +191,10 @@
 
     /// Reads more bytes into the buffer. Returns their number, 0 at the end of
     /// the connection. Yields now and then while bytes are always ready.
+    ///
+    /// The kernel reports a reset once. If a write was told of it, a read returns the
+    /// bytes that came before and then looks like an orderly end, which is an error
+    /// here.
     pub(super) async fn fill(&mut self) -> io::Result<usize> {
         if self.ready_reads >= MAX_READY_READS {
             self.ready_reads = 0;
@@ -202,7 +212,11 @@
             }
             result
         };
-        self.socket.read_with(read).await
+        let count = self.socket.read_with(read).await?;
+        if count == 0 && self.is_broken.get() {
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
+        Ok(count)
     }
 
     fn parse_response(&mut self) -> Result<Option<ResponseHead>, HeadError> {
