Refuse answers whose status is not one of HTTP

Callers saw: a target in trouble answered with a status such as 000, and the bytes after that head looked like the head of an answer. Without such bytes the request waited for a head that didn't come, until its timeout.

Cause: each status below 200 counted as an interim response, which has no body. What followed was read as the next head. The same held for 101, after which the bytes are no HTTP, and for an interim response that declares a body. Statuses from 600 were relayed, though they are no statuses either.

A status of other than three digits held: the head isn't parsed.

Change: a response is final from 200 to 599, and interim from 100 to 199 without 101 and without a body. All others are invalid: the connection is closed, a request that may run once gets 502, and one that may be repeated goes on at another target. The check is in HttpStream, which reads the answers of targets to requests, streams and stage calls, of other nodes and of the store.

--- a/crates/gateway/src/front/caller_connection.rs
+++ b/crates/gateway/src/front/caller_connection.rs
@@ -109,7 +109,11 @@
             Some(Ok(None) | Err(HeadError::Io(_) | HeadError::Truncated)) => return Ok(None),
             Some(Err(HeadError::TooLarge(_))) => return Err(GatewayResponse::head_too_large()),
             Some(Err(
-                HeadError::Syntax(_) | HeadError::Framing(_) | HeadError::TooManyInterimResponses,
+                HeadError::Syntax(_)
+                | HeadError::Framing(_)
+                | HeadError::TooManyInterimResponses
+                | HeadError::InvalidStatus(_)
+                | HeadError::InterimBody(_),
             )) => {
                 return Err(GatewayResponse::malformed());
             }
--- a/crates/gateway/src/http/body_framing.rs
+++ b/crates/gateway/src/http/body_framing.rs
@@ -25,7 +25,12 @@
     Ok(declared_framing(headers)?.unwrap_or(BodyFraming::UntilClose))
 }
 
-fn declared_framing(headers: &HeaderList) -> Result<Option<BodyFraming>, FramingError> {
+/// Framing that headers declare, if any.
+///
+/// # Errors
+///
+/// Fails for the same headers as [`request_framing`].
+pub(super) fn declared_framing(headers: &HeaderList) -> Result<Option<BodyFraming>, FramingError> {
     let values = |name| headers.all(name).map(|value| &value[..]);
     BodyFraming::declared(values("content-length"), values("transfer-encoding"))
 }
--- a/crates/gateway/src/http/head_error.rs
+++ b/crates/gateway/src/http/head_error.rs
@@ -18,6 +18,12 @@
     /// The server sent too many interim (1xx) responses.
     #[error("too many interim responses")]
     TooManyInterimResponses,
+    /// The status is neither that of a final response nor that of an interim one.
+    #[error("invalid status {0:03}")]
+    InvalidStatus(u16),
+    /// An interim response has a body.
+    #[error("interim response {0} with a body")]
+    InterimBody(u16),
     /// The head is not valid HTTP/1.x.
     #[error("malformed head: {0}")]
     Syntax(#[from] httparse::Error),
--- a/crates/gateway/src/http/http_stream.rs
+++ b/crates/gateway/src/http/http_stream.rs
@@ -2,6 +2,7 @@
     cell::Cell,
     io::{self, Read},
     net::{SocketAddr, TcpStream},
+    ops::RangeInclusive,
     time::Duration,
 };
 
@@ -10,7 +11,9 @@
 use rustix::net::sockopt;
 use smol::{Async, Timer};
 
-use super::{HeadError, HeaderList, RequestHead, ResponseHead};
+use super::{
+    BodyFraming, HeadError, HeaderList, RequestHead, ResponseHead, body_framing::declared_framing,
+};
 
 /// Number of bytes requested by each read.
 const READ_SIZE: usize = 16 << 10;
@@ -22,6 +25,12 @@
 const MAX_HEADERS: usize = 96;
 /// Maximum size of a response head.
 const MAX_RESPONSE_HEAD_BYTES: usize = 64 << 10;
+/// Statuses of interim responses, which have no body.
+const INTERIM_STATUSES: RangeInclusive<u16> = 100..=199;
+/// Interim status after which the bytes are no longer HTTP.
+const SWITCHING_PROTOCOLS: u16 = 101;
+/// Statuses of final responses.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 /// Maximum number of interim (1xx) responses before a final response.
 const MAX_INTERIM_RESPONSES: usize = 16;
 /// `TCP_USER_TIMEOUT`: how long sent data may stay unacknowledged before the
@@ -122,14 +131,15 @@
     /// # Errors
     ///
     /// Fails when the connection fails or ends, the head is malformed or too
-    /// large, or there are too many interim responses.
+    /// large, its status is invalid, or there are too many interim responses.
     pub async fn read_response(&mut self) -> Result<ResponseHead, HeadError> {
         let mut interim = 0;
         loop {
             if let Some(head) = self.parse_response()? {
-                if head.status >= 200 {
+                if FINAL_STATUSES.contains(&head.status) {
                     return Ok(head);
                 }
+                check_interim(&head)?;
                 interim += 1;
                 if interim > MAX_INTERIM_RESPONSES {
                     return Err(HeadError::TooManyInterimResponses);
@@ -239,6 +249,19 @@
     }
 }
 
+/// Checks that nothing but the next head can follow a response that is not final.
+/// Taken for a head, the body of a response would become the answer.
+fn check_interim(head: &ResponseHead) -> Result<(), HeadError> {
+    // The request asks for no other protocol.
+    if !INTERIM_STATUSES.contains(&head.status) || head.status == SWITCHING_PROTOCOLS {
+        return Err(HeadError::InvalidStatus(head.status));
+    }
+    match declared_framing(&head.headers)? {
+        None | Some(BodyFraming::Length(0)) => Ok(()),
+        Some(_) => Err(HeadError::InterimBody(head.status)),
+    }
+}
+
 fn copy(text: Option<&str>) -> Bytes {
     Bytes::copy_from_slice(text.unwrap_or_default().as_bytes())
 }
--- a/crates/gateway/src/targets/target_exchange.rs
+++ b/crates/gateway/src/targets/target_exchange.rs
@@ -489,6 +489,8 @@
         HeadError::TooLarge(_)
         | HeadError::Syntax(_)
         | HeadError::Framing(_)
+        | HeadError::InvalidStatus(_)
+        | HeadError::InterimBody(_)
         | HeadError::TooManyInterimResponses => SendError::Malformed(error.to_string()),
     }
 }
