Test answers whose head has an odd field name

On other systems callers got an answer in whose head the name of a field held a blank or a control byte, with that line passed on or with another body. It was looked for on the three ways on which answers are read: plain requests, streams, and calls of stages.

Nothing is changed for it; the tests stay.

--- a/crates/gateway/tests/invalid_heads.rs
+++ b/crates/gateway/tests/invalid_heads.rs
@@ -3,8 +3,16 @@
 
 mod support;
 
-use support::{CallerRequest, GatewayProcess, default_store, start_targets};
-use verbenahub_platform_standin::{PlainTarget, RawCall, RawReply, ReplyStep, RunLog, StoreServer};
+use std::time::Duration;
+
+use serde_json::json;
+use support::{
+    CallerRequest, GatewayProcess, RawResponse, any_port, config, default_store, register, route,
+    start_targets,
+};
+use verbenahub_platform_standin::{
+    EngineTarget, PlainTarget, RawCall, RawReply, ReplyStep, RunLog, StageTarget, StoreServer,
+};
 
 /// Fields of a success of a target.
 const FIELDS: &str = "Response-Signature: 3e1b.07\r\nContent-Type: text/event-stream\r\n";
@@ -14,6 +22,33 @@
 const HIDDEN_ANSWER: &str =
     "HTTP/1.1 200 OK\r\nResponse-Signature: 3e1b.07\r\nContent-Length: 6\r\n\r\nhidden";
 
+/// Lines that are no fields of an HTTP message: a blank or a control byte in the name,
+/// no name, no colon, or a control byte in the value.
+const ODD_LINES: &[&[u8]] = &[
+    b"Odd Name: x",
+    b"Odd\tName: x",
+    b" Odd: x",
+    b"\tOdd: x",
+    b"Odd : x",
+    b"Odd\t: x",
+    b"O\x00dd: x",
+    b"O\x01dd: x",
+    b"O\x0bdd: x",
+    b"O\x1bdd: x",
+    b"O\x7fdd: x",
+    b"O\rdd: x",
+    b"O\xe9dd: x",
+    b": x",
+    b"Odd",
+    b"Content-Length : 3",
+    b"Content Length: 3",
+    b"Transfer-Encoding : chunked",
+    b"Content-Encoding : gzip",
+    b"Odd: x\x00",
+    b"Odd: x\x01",
+    b"Odd: x\ry",
+];
+
 /// A route that allows one attempt and one that allows another, and their service.
 struct RoutePair {
     service: &'static str,
@@ -117,6 +152,19 @@
     }
 }
 
+/// A success with an odd line before or after the length of its body.
+fn reply_with_line(line: &[u8], is_first: bool, body: &str) -> Vec<u8> {
+    let framing = format!("Content-Length: {}\r\n", body.len());
+    let (before, after) = if is_first {
+        ("", framing.as_str())
+    } else {
+        (framing.as_str(), "")
+    };
+    let head = format!("HTTP/1.1 200 OK\r\n{FIELDS}{before}");
+    let rest = format!("\r\n{after}\r\n{body}");
+    [head.as_bytes(), line, rest.as_bytes()].concat()
+}
+
 #[test]
 fn plain_answer_with_an_invalid_status_reaches_no_caller() {
     PLAIN.check_statuses();
@@ -127,6 +175,71 @@
     STREAMS.check_statuses();
 }
 
+#[test]
+fn plain_answer_with_an_odd_field_name_reaches_no_caller() {
+    for (number, line) in ODD_LINES.iter().enumerate() {
+        PLAIN.check(&reply_with_line(line, number % 2 == 0, EVENTS));
+    }
+}
+
+#[test]
+fn stream_with_an_odd_field_name_reaches_no_caller() {
+    for (number, line) in ODD_LINES.iter().enumerate() {
+        STREAMS.check(&reply_with_line(line, number % 2 == 1, EVENTS));
+    }
+}
+
+/// The results that a broken answer of a stage names are not used: another target
+/// produces them.
+#[test]
+fn stage_answer_with_an_invalid_head_is_not_used() {
+    let items = r#"{"Items":[{"Handle":"127.0.0.1:1/f00d"}]}"#;
+    let lines = ODD_LINES.iter().step_by(3);
+    let lines = lines.map(|line| reply_with_line(line, true, items));
+    let mut replies: Vec<Vec<u8>> = lines.collect();
+    for status in ["000", "101", "999"] {
+        let length = items.len();
+        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{items}");
+        replies.push(format!("HTTP/1.1 {status} Trouble\r\n\r\n{answer}").into_bytes());
+    }
+    for reply in replies {
+        let case = reply.escape_ascii().to_string();
+        let store = default_store();
+        let mut staged = route("staged", "/staged/", "streaming", "pool", 1);
+        staged["Stages"] = json!([{ "Service": "stage-a", "After": [], "Bytes": 1000 }]);
+        store.put("op/config", &config(5, &[staged]));
+        let log = RunLog::default();
+        let _broken = start_targets(&store, &log, "stage-a", "s", 1, move |_: &RawCall| {
+            RawReply::send(reply.clone()).then(ReplyStep::Silence)
+        });
+        let _engines = start_targets(&store, &log, "pool", "e", 1, |call: &RawCall| {
+            EngineTarget::stream(call, 2, Duration::ZERO).last_chunk()
+        });
+        let gateway = GatewayProcess::start_ready("n1", store.address());
+        gateway.wait_log_line(|line| line["targets"] == 2);
+        let request = CallerRequest::new("POST", "/staged/a", "r1")
+            .with_header("Pieces", "1")
+            .with_header("Piece-Key", "ab");
+        let mut caller = request.send(gateway.caller_address);
+        let line = gateway.wait_log_line(|line| line["msg"] == "stage: Call ended.");
+        assert_eq!(line["end"], "malformed", "{case}");
+        let sound = StageTarget::start(any_port(), "s9", Duration::ZERO);
+        let sound = sound.expect("the target starts");
+        register(&store, "s9", "stage-a", sound.server().address());
+        let response = RawResponse::read(&mut caller);
+        assert_eq!(
+            (response.status, response.is_complete),
+            (200, true),
+            "{case}"
+        );
+        let results = sound.results();
+        let runs = log.runs_of("r1");
+        let inputs = runs.iter().map(|run| run.call.header("Inputs"));
+        let inputs: Vec<_> = inputs.collect();
+        assert_eq!(inputs, [Some(results[0].1.as_str())], "{case}");
+    }
+}
+
 /// Heads of valid interim responses are no answers, and don't spoil the one that
 /// follows.
 #[test]
