Read the items of the store one by one

One item that isn't of the form of the protocol kept all others of its page unread: no gateway that was started became ready, and a watch failed at the same change again and again, so no later change came into force.

Cause: a page and an update were decoded as a whole, so one item with a missing field or one of another type was an error of the response.

Evidence: items_of_another_form_leave_the_others_in_force, with a stand-in that sends eight such items before and after the start of a gateway; it timed out waiting for readiness before.

Change: each item is decoded by itself. The next page begins after the last key that can be read, also that of an item left out, so such items can't hold up a listing.

--- a/crates/gateway/src/store/store_listing.rs
+++ b/crates/gateway/src/store/store_listing.rs
@@ -10,6 +10,8 @@
 pub(super) struct StoreListing {
     items: Vec<StoreItem>,
     revision: Option<StoreRevision>,
+    /// Last key of the pages so far.
+    cursor: Option<String>,
     /// Keys after which pages were read.
     cursors: HashSet<String>,
 }
@@ -17,7 +19,7 @@
 impl StoreListing {
     /// Key after which the next page begins, or `None` for the first page.
     pub(super) fn cursor(&self) -> Option<&str> {
-        self.items.last().map(|item| item.key.as_str())
+        self.cursor.as_deref()
     }
 
     /// Adds the next page. Returns whether another page follows.
@@ -36,13 +38,12 @@
         if !page.has_more {
             return Ok(false);
         }
-        let cursor = self.cursor().map(str::to_owned);
-        let is_new = cursor.is_some_and(|cursor| self.cursors.insert(cursor));
-        if is_new {
-            Ok(true)
-        } else {
-            Err(StoreError::RepeatedPage)
+        let cursor = page.last_key.ok_or(StoreError::RepeatedPage)?;
+        if !self.cursors.insert(cursor.clone()) {
+            return Err(StoreError::RepeatedPage);
         }
+        self.cursor = Some(cursor);
+        Ok(true)
     }
 
     /// All items, and the revision of the first page. Later pages may be of later
--- a/crates/gateway/src/store/store_reader.rs
+++ b/crates/gateway/src/store/store_reader.rs
@@ -93,6 +93,7 @@
             let watch = self.client.watch(paths::ALL_KEYS, revision, WATCH_WAIT);
             let update = watch.await?;
             self.record_answer();
+            self.log_unreadable(&update.unreadable);
             if !update.events.is_empty() {
                 self.apply_events(&update.events, update.revision);
                 // Changes often come in bursts, and each call is counted.
@@ -109,6 +110,7 @@
             let read = self.client.read_page(paths::ALL_KEYS, listing.cursor());
             let page = read.await?;
             self.record_answer();
+            self.log_unreadable(&page.unreadable);
             if !listing.push(page)? {
                 break;
             }
@@ -193,6 +195,12 @@
         }
     }
 
+    fn log_unreadable(&self, errors: &[String]) {
+        for error in errors {
+            slog::warn!(self.shared.log, "store: Item is unreadable."; "error" => error);
+        }
+    }
+
     fn is_settled(&self) -> bool {
         let now = self.shared.now();
         self.shared.store_connectivity.borrow().is_settled(now)
--- a/crates/gateway/tests/odd_entries.rs
+++ b/crates/gateway/tests/odd_entries.rs
@@ -126,6 +126,51 @@
     assert_serves(&gateway, "changes");
 }
 
+/// Items that don't have the form of the protocol, among those of the targets, before
+/// the gateway starts and while it runs.
+#[test]
+fn items_of_another_form_leave_the_others_in_force() {
+    let odd_items = |prefix: &str| {
+        let key = |number: usize| format!("servers/{prefix}{number}");
+        [
+            json!({ "Value": "e30=", "Revision": 3 }),
+            json!({ "Key": 5, "Value": "e30=", "Revision": 3 }),
+            json!({ "Key": key(2), "Value": 5, "Revision": 3 }),
+            json!({ "Key": key(3), "Value": "e30=" }),
+            json!({ "Key": key(4), "Value": "e30=", "Revision": "x" }),
+            json!({ "Key": key(5), "Value": "e30=", "Revision": 3, "Tombstone": 1 }),
+            json!(null),
+            json!("text"),
+        ]
+    };
+    let put_items = |store: &StoreServer, prefix: &str| {
+        for (number, item) in odd_items(prefix).iter().enumerate() {
+            store.put_item(&format!("servers/{prefix}{number}"), item);
+        }
+    };
+    let store = default_store();
+    let log = RunLog::default();
+    let targets = start_targets_around(&store, &log);
+    put_items(&store, "m");
+    let gateway = GatewayProcess::start_ready("n1", store.address());
+    gateway.wait_log_line(|line| line["targets"] == targets.len());
+    assert_serves(&gateway, "listing");
+    gateway.wait_log_line(|line| line["msg"] == "store: Item is unreadable.");
+    put_items(&store, "n");
+    let _later = start_target(&store, &log, "late");
+    gateway.wait_log_line(|line| line["targets"] == targets.len() + 1);
+    store.remove("servers/a0");
+    wait_for("the removal", || {
+        let lines = gateway.log_lines();
+        let mut changes = lines
+            .iter()
+            .rev()
+            .filter_map(|line| line["targets"].as_u64());
+        changes.next() == Some(targets.len() as u64)
+    });
+    assert_serves(&gateway, "changes");
+}
+
 /// The store doesn't find the key after which a page begins. The listing fails instead
 /// of collecting the same page without end, and is tried again.
 #[test]
