Stop using a target whose entry was written over

Callers saw: another writer writes over the entry of a target with one that names none.

Cause: a change whose record can't be decoded was dropped, so the record before it stayed in use. The platform's pages say that such an entry names no replica to use.

Evidence: target_whose_entry_is_written_over_gets_no_requests, nine values: bytes that can't be read, nothing, fields missing or of another type, a state and a service that don't exist. Before, it timed out waiting for the removal by the watch.

Change: such a change removes the target like a removal of its entry: at once, or, while the connection to the store is not settled, when it has settled and the target has not written its entry again. The target is used again as soon as it does.

Result: the test passes, and requests go to the target again after its next record.

--- a/crates/gateway/src/store/store_reader.rs
+++ b/crates/gateway/src/store/store_reader.rs
@@ -8,7 +8,7 @@
 };
 use verbenahub_platform::{
     StoreEvent, StoreItem, decode_config, decode_target, evacuation_change, listed_evacuation,
-    paths, removed_target,
+    overwritten_target, paths, removed_target,
 };
 
 use super::{StoreClient, StoreError, store_listing::StoreListing};
@@ -156,7 +156,8 @@
         self.shared.merge_evacuations(evacuations, "store");
         let changes = events.iter().filter_map(|event| match event {
             StoreEvent::Written(item) if paths::is_target_key(&item.key) => {
-                self.decode(item).map(RegistryChange::Put)
+                let record = self.decode(item).map(RegistryChange::Put);
+                record.or_else(|| overwritten_target(item))
             }
             StoreEvent::Written(_) => None,
             StoreEvent::Removed { .. } => removed_target(event),
--- a/crates/gateway/tests/odd_entries.rs
+++ b/crates/gateway/tests/odd_entries.rs
@@ -171,6 +171,49 @@
     assert_serves(&gateway, "changes");
 }
 
+/// Another writer writes over the entry of a target with one that names none. A gateway
+/// that watches the store stops using the target like one that lists it, until the
+/// target writes its entry again.
+#[test]
+fn target_whose_entry_is_written_over_gets_no_requests() {
+    let no_target = |field: &str, value: serde_json::Value| {
+        let mut record = target_record("desk", any_port());
+        record[field] = value;
+        record.to_string().into_bytes()
+    };
+    for value in [
+        b"\xff\xfe{".to_vec(),
+        b"".to_vec(),
+        b"null".to_vec(),
+        b"{}".to_vec(),
+        no_target("State", json!("stopped")),
+        no_target("State", json!(7)),
+        no_target("Service", json!(null)),
+        no_target("Service", json!("no service")),
+        no_target("Address", json!("nowhere")),
+    ] {
+        let case = value.escape_ascii();
+        let store = default_store();
+        let log = RunLog::default();
+        let target = start_target(&store, &log, "t0");
+        let _other = start_target(&store, &log, "t1");
+        let gateway = GatewayProcess::start_ready("n1", store.address());
+        gateway.wait_log_line(|line| line["targets"] == 2);
+        store.put_bytes("servers/t0", &value);
+        gateway.wait_log_line(|line| line["targets"] == 1 && line["source"] == "watch");
+        let before = log.runs().len();
+        assert_serves(&gateway, "written over");
+        let runs = &log.runs()[before..];
+        assert!(runs.iter().all(|run| run.target == "t1"), "{case}");
+        register(&store, "t0", "desk", target.server().address());
+        wait_for("requests to the target", || {
+            let before = log.runs().len();
+            assert_serves(&gateway, "written again");
+            log.runs()[before..].iter().any(|run| run.target == "t0")
+        });
+    }
+}
+
 /// The store doesn't find the key after which a page begins. The listing fails instead
 /// of collecting the same page without end, and is tried again.
 #[test]
