Turn a panic of the HTTP library on an answer into an error

Callers of verbenahubd saw: a target, another node or the platform answers with a header whose value is valid UTF-8 but not ASCII, such as "café". The task that read the answer ended with a panic, and with it the caller's request, instead of another attempt.

Cause: async_h1 hands each value to http_types, which unwraps the error of a value that is not ASCII.

Evidence: response_with_a_header_that_is_not_ascii_is_an_error, with a target that sends such a header; it panicked before.

Change: the client catches the panic and reports a lost connection, which may be repeated where the pipeline allows it. A header that can't be represented can't be passed on either. What the server makes of such a header of a caller isn't changed: its connection ends without an answer, others go on.

--- a/crates/node/src/connection/client_pool.rs
+++ b/crates/node/src/connection/client_pool.rs
@@ -1,6 +1,7 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
+    panic::AssertUnwindSafe,
     sync::Mutex,
     time::{Duration, Instant},
 };
@@ -113,14 +114,18 @@
         let exchange = async {
             // Boxed because the buffers of `async_h1` would make the future of
             // every caller large.
-            Box::pin(async_h1::connect(stream.clone(), request))
-                .await
-                .map_err(|error| CallError::ConnectionLost(error.to_string()))
+            let response = Box::pin(async_h1::connect(stream.clone(), request));
+            // `http_types` panics if the value of a header is not ASCII.
+            match AssertUnwindSafe(response).catch_unwind().await {
+                Ok(response) => {
+                    response.map_err(|error| CallError::ConnectionLost(error.to_string()))
+                }
+                Err(_) => Err(connection_lost("a header that is not ASCII")),
+            }
         };
         let response = exchange.or(timed_out).await?;
         if !has_known_end(&response) {
-            let reason = "a response without a length".to_owned();
-            return Err(CallError::ConnectionLost(reason));
+            return Err(connection_lost("a response without a length"));
         }
         stream.set_read_budget(MAX_BODY_BYTES);
         Ok(CallResponse::new(self, address, stream, response))
@@ -161,6 +166,10 @@
     }
 }
 
+fn connection_lost(reason: &str) -> CallError {
+    CallError::ConnectionLost(reason.to_owned())
+}
+
 /// Whether a response says where its body ends. `async_h1` takes the body of one that
 /// doesn't for empty.
 fn has_known_end(response: &Response) -> bool {
--- a/crates/node/tests/client_pool.rs
+++ b/crates/node/tests/client_pool.rs
@@ -153,3 +153,13 @@
     let empty = call_closing_target(b"HTTP/1.1 204 No Content\r\nx-own: y\r\n\r\n");
     assert_eq!(empty.as_deref(), Some(b"".as_slice()));
 }
+
+/// Guards against a panic of the HTTP library, which would end the caller's request.
+#[test]
+fn response_with_a_header_that_is_not_ascii_is_an_error() {
+    for value in [b"caf\xc3\xa9".as_slice(), b"caf\xe9", b"\xff"] {
+        let head = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nx-own: ";
+        let response = [head.as_slice(), value, b"\r\n\r\nwhole"].concat();
+        assert_eq!(call_closing_target(&response), None);
+    }
+}
