Take no interim response for an answer in the daemon

Callers of verbenahubd saw nothing worse than a failed attempt: a 100, 101 or 103 with a body counted as the answer of a target, of unclear outcome, and its body was read as the answer's. The rest of the connection then began with the real answer.

Cause: async_h1 returns an interim response like a final one.

Held before: 000, 001, 099, 102, 199, 600, 999 and statuses that aren't three digits, and each of 13 odd header lines, make the head invalid.

Change: a response that is not final counts as a lost connection.

Result: the test passes.

--- a/crates/node/src/connection/client_pool.rs
+++ b/crates/node/src/connection/client_pool.rs
@@ -124,6 +124,10 @@
             }
         };
         let response = exchange.or(timed_out).await?;
+        if response.status().is_informational() {
+            // What follows would be taken for the body.
+            return Err(connection_lost("an interim response"));
+        }
         if !has_known_end(&response) {
             return Err(connection_lost("a response without a length"));
         }
--- a/crates/node/tests/client_pool.rs
+++ b/crates/node/tests/client_pool.rs
@@ -154,6 +154,41 @@
     assert_eq!(empty.as_deref(), Some(b"".as_slice()));
 }
 
+/// Guards against a head that is not that of a final HTTP response.
+#[test]
+fn response_with_an_invalid_head_is_no_answer() {
+    let framing = "Content-Length: 5\r\n";
+    let statuses = [
+        "000", "001", "099", "100", "101", "102", "199", "600", "999", "20", "2x0",
+    ];
+    let mut responses: Vec<Vec<u8>> = statuses
+        .iter()
+        .map(|status| format!("HTTP/1.1 {status} Trouble\r\n{framing}\r\nwhole").into_bytes())
+        .collect();
+    for line in [
+        b"Odd Name: x".as_slice(),
+        b"Odd : x",
+        b" Odd: x",
+        b"O\x00dd: x",
+        b"O\x01dd: x",
+        b"O\x7fdd: x",
+        b"O\rdd: x",
+        b"O\xc3\xa9dd: x",
+        b": x",
+        b"Odd",
+        b"Content-Length : 3",
+        b"Odd: x\x00",
+        b"Odd: x\x01",
+    ] {
+        let head = format!("HTTP/1.1 200 OK\r\n{framing}");
+        responses.push([head.as_bytes(), line, b"\r\n\r\nwhole"].concat());
+    }
+    for response in responses {
+        let case = response.escape_ascii().to_string();
+        assert_eq!(call_closing_target(&response), None, "{case}");
+    }
+}
+
 /// Guards against a panic of the HTTP library, which would end the caller's request.
 #[test]
 fn response_with_a_header_that_is_not_ascii_is_an_error() {
