Refuse bodies whose trailers are not header fields

Callers saw: a target's answer in chunks went on after its last chunk with a line that is no header field, such as the head of another answer, and the caller got the body as a complete success. Found where the case of the odd field names was looked for: a name in the head is checked, one behind the body was skipped unread.

Cause: any lines up to an empty one counted as trailers. A target that lost its way there may have lost it before, and the bytes behind those lines belong to no request.

Change: each trailer must be a header field, by the parser that reads the heads. Valid trailers are dropped as before, for answers and for requests of callers.

--- a/crates/gateway/src/http/body_reader.rs
+++ b/crates/gateway/src/http/body_reader.rs
@@ -186,6 +186,13 @@
     size.ok_or(BodyError::MalformedChunk)
 }
 
+/// Whether a line is a header field, as trailers are.
+fn is_field(line: &[u8]) -> bool {
+    let lines = [line, b"\r\n\r\n"].concat();
+    let mut fields = [httparse::EMPTY_HEADER];
+    httparse::parse_headers(&lines, &mut fields).is_ok_and(|status| status.is_complete())
+}
+
 async fn skip_trailers(stream: &mut HttpStream) -> Result<(), BodyError> {
     let mut skipped = 0;
     loop {
@@ -193,6 +200,9 @@
         if line.is_empty() {
             return Ok(());
         }
+        if !is_field(&line) {
+            return Err(BodyError::MalformedChunk);
+        }
         skipped += line.len();
         if skipped > MAX_TRAILER_BYTES {
             return Err(BodyError::MalformedChunk);
--- a/crates/gateway/tests/invalid_heads.rs
+++ b/crates/gateway/tests/invalid_heads.rs
@@ -240,6 +240,52 @@
     }
 }
 
+/// The end of a body in chunks is not certain if something else follows the last chunk
+/// than trailers, such as the head of another answer.
+#[test]
+fn answer_with_invalid_trailers_is_no_success() {
+    let hidden = HIDDEN_ANSWER.as_bytes();
+    let trailers = ODD_LINES.iter().copied().chain([hidden]);
+    for trailer in trailers {
+        let case = trailer.escape_ascii();
+        let chunk = format!("{:x}\r\n{EVENTS}\r\n0\r\n", EVENTS.len());
+        let head = format!("HTTP/1.1 200 OK\r\n{FIELDS}Transfer-Encoding: chunked\r\n\r\n");
+        let reply = [head.as_bytes(), chunk.as_bytes(), trailer, b"\r\n\r\n"].concat();
+        let fixture = HeadFixture::start("desk", &reply);
+        let address = fixture.gateway.caller_address;
+        let response = CallerRequest::new("POST", "/book/a", "r1").fetch(address);
+        assert_eq!(response.status, 502, "{case}");
+        let response = CallerRequest::new("POST", "/look/a", "r2").fetch(address);
+        assert_eq!(
+            (response.status, response.text()),
+            (200, EVENTS.to_owned()),
+            "{case}"
+        );
+        assert_eq!(fixture.log.runs_of("r2").len(), 2, "{case}");
+        let fixture = HeadFixture::start("pool", &reply);
+        let address = fixture.gateway.caller_address;
+        let response = CallerRequest::new("POST", "/tell/a", "r1").fetch(address);
+        assert!(!response.is_complete, "{case}");
+    }
+}
+
+#[test]
+fn valid_trailers_are_dropped() {
+    let chunk = format!("{:x}\r\n{EVENTS}\r\n0\r\n", EVENTS.len());
+    let reply = format!(
+        "HTTP/1.1 200 OK\r\n{FIELDS}Transfer-Encoding: chunked\r\n\r\n{chunk}\
+         Checksum: 1f\r\nx-empty:\r\n\r\n"
+    );
+    for pair in [PLAIN, STREAMS] {
+        let fixture = HeadFixture::start(pair.service, reply.as_bytes());
+        let address = fixture.gateway.caller_address;
+        let response = CallerRequest::new("POST", pair.once, "r1").fetch(address);
+        assert_eq!((response.status, response.text()), (200, EVENTS.to_owned()));
+        assert!(response.is_complete);
+        assert_eq!(response.header("Checksum"), None);
+    }
+}
+
 /// Heads of valid interim responses are no answers, and don't spoil the one that
 /// follows.
 #[test]
