--- a/crates/gateway/tests/invalid_heads.rs
+++ b/crates/gateway/tests/invalid_heads.rs
@@ -189,54 +189,77 @@
     }
 }
 
-/// The results that a broken answer of a stage names are not used: another target
-/// produces them.
+/// Checks that an answer of a stage with other results is not used: another target
+/// produces the inputs of the request.
+fn check_stage_answer(reply: &[u8]) {
+    let case = reply.escape_ascii();
+    let store = default_store();
+    let mut staged = route("staged", "/staged/", "streaming", "pool", 1);
+    staged["Stages"] = json!([{ "Service": "stage-a", "After": [], "Bytes": 1000 }]);
+    store.put("op/config", &config(5, &[staged]));
+    let log = RunLog::default();
+    let broken = reply.to_vec();
+    let _broken = start_targets(&store, &log, "stage-a", "s", 1, move |_: &RawCall| {
+        RawReply::send(broken.clone()).then(ReplyStep::Silence)
+    });
+    let _engines = start_targets(&store, &log, "pool", "e", 1, |call: &RawCall| {
+        EngineTarget::stream(call, 2, Duration::ZERO).last_chunk()
+    });
+    let gateway = GatewayProcess::start_ready("n1", store.address());
+    gateway.wait_log_line(|line| line["targets"] == 2);
+    let request = CallerRequest::new("POST", "/staged/a", "r1")
+        .with_header("Pieces", "1")
+        .with_header("Piece-Key", "ab");
+    let mut caller = request.send(gateway.caller_address);
+    let line = gateway.wait_log_line(|line| line["msg"] == "stage: Call ended.");
+    assert_eq!(line["end"], "malformed", "{case}");
+    let sound = StageTarget::start(any_port(), "s9", Duration::ZERO);
+    let sound = sound.expect("the target starts");
+    register(&store, "s9", "stage-a", sound.server().address());
+    let response = RawResponse::read(&mut caller);
+    assert_eq!(
+        (response.status, response.is_complete),
+        (200, true),
+        "{case}"
+    );
+    let results = sound.results();
+    let runs = log.runs_of("r1");
+    let inputs: Vec<_> = runs.iter().map(|run| run.call.header("Inputs")).collect();
+    assert_eq!(inputs, [Some(results[0].1.as_str())], "{case}");
+}
+
 #[test]
 fn stage_answer_with_an_invalid_head_is_not_used() {
     let items = r#"{"Items":[{"Handle":"127.0.0.1:1/f00d"}]}"#;
-    let lines = ODD_LINES.iter().step_by(3);
-    let lines = lines.map(|line| reply_with_line(line, true, items));
-    let mut replies: Vec<Vec<u8>> = lines.collect();
+    for line in ODD_LINES.iter().step_by(3) {
+        check_stage_answer(&reply_with_line(line, true, items));
+    }
     for status in ["000", "101", "999"] {
         let length = items.len();
         let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{items}");
-        replies.push(format!("HTTP/1.1 {status} Trouble\r\n\r\n{answer}").into_bytes());
+        let reply = format!("HTTP/1.1 {status} Trouble\r\n\r\n{answer}");
+        check_stage_answer(reply.as_bytes());
     }
-    for reply in replies {
-        let case = reply.escape_ascii().to_string();
-        let store = default_store();
-        let mut staged = route("staged", "/staged/", "streaming", "pool", 1);
-        staged["Stages"] = json!([{ "Service": "stage-a", "After": [], "Bytes": 1000 }]);
-        store.put("op/config", &config(5, &[staged]));
-        let log = RunLog::default();
-        let _broken = start_targets(&store, &log, "stage-a", "s", 1, move |_: &RawCall| {
-            RawReply::send(reply.clone()).then(ReplyStep::Silence)
-        });
-        let _engines = start_targets(&store, &log, "pool", "e", 1, |call: &RawCall| {
-            EngineTarget::stream(call, 2, Duration::ZERO).last_chunk()
-        });
-        let gateway = GatewayProcess::start_ready("n1", store.address());
-        gateway.wait_log_line(|line| line["targets"] == 2);
-        let request = CallerRequest::new("POST", "/staged/a", "r1")
-            .with_header("Pieces", "1")
-            .with_header("Piece-Key", "ab");
-        let mut caller = request.send(gateway.caller_address);
-        let line = gateway.wait_log_line(|line| line["msg"] == "stage: Call ended.");
-        assert_eq!(line["end"], "malformed", "{case}");
-        let sound = StageTarget::start(any_port(), "s9", Duration::ZERO);
-        let sound = sound.expect("the target starts");
-        register(&store, "s9", "stage-a", sound.server().address());
-        let response = RawResponse::read(&mut caller);
-        assert_eq!(
-            (response.status, response.is_complete),
-            (200, true),
-            "{case}"
-        );
-        let results = sound.results();
-        let runs = log.runs_of("r1");
-        let inputs = runs.iter().map(|run| run.call.header("Inputs"));
-        let inputs: Vec<_> = inputs.collect();
-        assert_eq!(inputs, [Some(results[0].1.as_str())], "{case}");
+}
+
+/// The names of results become a header of the request to the engine.
+#[test]
+fn stage_result_with_an_odd_name_is_not_used() {
+    for name in [
+        "127.0.0.1:1/a\r\nHold: 1",
+        "127.0.0.1:1/a\nHold: 1",
+        "127.0.0.1:1/a\r\n\r\nPOST /hidden HTTP/1.1",
+        "127.0.0.1:1/a,127.0.0.1:1/b",
+        "127.0.0.1:1/a b",
+        "127.0.0.1:1/\u{0}",
+        "127.0.0.1:1/\u{7f}",
+        "127.0.0.1:1/\u{e9}",
+        "",
+    ] {
+        let items = json!({ "Items": [{ "Handle": name }] }).to_string();
+        let length = items.len();
+        let reply = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{items}");
+        check_stage_answer(reply.as_bytes());
     }
 }
 
