Resume no stream after an event whose id can't stand in a header

Callers saw a stream that broke off; what is mended is what the next engine got. A stream broke off after an event with a control character in its id, and the id was sent to the next engine in `Last-Event-Id` as it is.

Cause: an id is what stands behind `id:` up to the line feed, and was used unchecked.

Evidence: stream_whose_last_event_has_an_odd_id_is_not_resumed, four ids. Before, each request was sent twice: 2 attempts instead of 1 at the first.

Change: such a stream isn't resumed. Its caller gets an incomplete answer, as it did before, and the next engine no request.

--- a/crates/gateway/src/front/stream_flow.rs
+++ b/crates/gateway/src/front/stream_flow.rs
@@ -192,7 +192,10 @@
     /// Resumes the stream at another target. Returns whether one accepted it. The
     /// exchange is open afterwards only if no other target can work on the stream.
     async fn resume_elsewhere(&mut self) -> bool {
-        if !self.sender.request.route.resumable || !self.sender.may_repeat().await {
+        if !self.sender.request.route.resumable || !self.has_valid_resume_point() {
+            return false;
+        }
+        if !self.sender.may_repeat().await {
             return false;
         }
         if !self.restore_inputs().await {
@@ -217,6 +220,12 @@
         true
     }
 
+    /// Whether the id of the last event can stand in a header.
+    fn has_valid_resume_point(&self) -> bool {
+        let last = self.last_event.as_deref().unwrap_or_default();
+        !last.contains(char::is_control)
+    }
+
     /// Records how far the answer had come if it broke off with its connection.
     fn record_failure(&mut self, error: &SendError) {
         let phase = AnswerPhase::of_stream(self.begun_at, self.sender.shared.now());
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -340,6 +340,30 @@
     assert_eq!(fixture.log.runs_of("r1").len(), 2);
 }
 
+/// The id of the last event becomes a header of the next request, where a control
+/// character could end it.
+#[test]
+fn stream_whose_last_event_has_an_odd_id_is_not_resumed() {
+    for id in ["0\rHold: 1", "0\u{0}", "0\u{1}", "0\u{7f}"] {
+        let fixture = StreamFixture::start(2, move |call: &RawCall| {
+            let event = format!("id: {id}\ndata: a\n\n");
+            EngineTarget::head(call)
+                .chunk(event.as_bytes())
+                .then(ReplyStep::Close)
+        });
+        let answer = fixture.ask("/resume/a", "r1");
+        assert!(!answer.is_complete, "{id:?}");
+        fixture
+            .gateway
+            .wait_log_line(|line| line["msg"] == "request: Ended.");
+        let lines = fixture.gateway.log_lines();
+        let attempts = lines
+            .iter()
+            .filter(|line| line["msg"] == "request: Attempt ended.");
+        assert_eq!(attempts.count(), 1, "{id:?}");
+    }
+}
+
 #[test]
 fn stream_passes_event_by_event() {
     let fixture = StreamFixture::start(1, |call: &RawCall| {
