--- a/crates/gateway/src/http/http_stream.rs
+++ b/crates/gateway/src/http/http_stream.rs
@@ -84,7 +84,9 @@
     /// Fails when the connection fails.
     pub async fn write(&self, bytes: &[u8]) -> io::Result<()> {
         let written = (&self.socket).write_all(bytes).await;
-        self.is_broken.set(self.is_broken.get() || written.is_err());
+        if written.is_err() {
+            self.is_broken.set(true);
+        }
         written
     }
 
