Play odd entries and invalid heads in the soak

The soak knew neither. Its store now holds entries under odd names, one that can't be read and one that is no item, before the gateways start and again with each configuration, and its plain targets answer with a 000 before another answer, or with an odd field name, in 2 of 20 cases more.

--- a/crates/gateway/tests/soak.rs
+++ b/crates/gateway/tests/soak.rs
@@ -28,7 +28,7 @@
 use support::{
     CallerRequest, GatewayProcess, RawResponse, any_port, config, default_routes,
     limit_watch::{GatewayHistory, LIMIT_HEADER, LimitWatch},
-    register, register_with_state, route, wait_for,
+    register, register_with_state, route, target_record, wait_for,
 };
 use verbenahub_platform_standin::{
     EngineTarget, FaultProxy, LinkFault, PlainTarget, RawCall, RawReply, ReplyStep, RunLog,
@@ -39,6 +39,9 @@
 const CALLERS: usize = 8;
 /// Number of events in a complete stream.
 const EVENTS: u32 = 5;
+/// A complete answer that belongs to no request.
+const HIDDEN_ANSWER: &str =
+    "HTTP/1.1 200 OK\r\nResponse-Signature: 3e1b.07\r\nContent-Length: 6\r\n\r\nhidden";
 /// Limit that one target of each service names during the faults, in requests a
 /// second.
 const LIMIT: f64 = 2.0;
@@ -135,6 +138,7 @@
             register(&cluster.store, &id, service, stage.server().address());
             cluster.stages.push(stage);
         }
+        cluster.write_odd_entries();
         for index in 0..GATEWAYS {
             let gateway = cluster.start_gateway(index);
             cluster.gateways.push(gateway);
@@ -187,6 +191,22 @@
         self.store.put("op/config", &config(self.version, &routes));
     }
 
+    /// Writes entries that name no target: under odd names, and of another form.
+    fn write_odd_entries(&self) {
+        for name in [
+            "copy of desk-0",
+            "desk-0&After=",
+            "desk-0#",
+            "desk-0+",
+            "desk%2D0",
+        ] {
+            let record = target_record("desk", any_port());
+            self.store.put(&format!("servers/{name}"), &record);
+        }
+        self.store.put_bytes("servers/odd", b"\xff{");
+        self.store.put_item("servers/raw", &json!({ "Key": 7 }));
+    }
+
     /// Injects a random fault, publishes a configuration, sends a signal or clears
     /// all faults.
     fn inject_fault(&mut self, rng: &mut Rng) {
@@ -209,7 +229,10 @@
             }
             6 | 7 => self.resume_gateway(index),
             8 => self.replace_gateway(index),
-            9 => self.publish_config(),
+            9 => {
+                self.publish_config();
+                self.write_odd_entries();
+            }
             10 => self.gateways[index].signal(Signal::HUP),
             _ => self.clear_faults(),
         }
@@ -345,8 +368,8 @@
     }
 }
 
-/// Returns a complete response or, in 6 of 20 cases, a fault: a truncated, missing,
-/// malformed, failed or repeated response.
+/// Returns a complete response or, in 8 of 20 cases, a fault: a truncated, missing,
+/// malformed, failed or repeated response, or one with an invalid head.
 fn faulty_plain_reply(call: &RawCall, fault_seed: &AtomicU64) -> RawReply {
     let id = call.header("Attempt-Id").unwrap_or_default();
     let complete = PlainTarget::signed(call, "200 OK", format!("answer to {id}").as_bytes());
@@ -362,6 +385,8 @@
             repeated.steps.extend(complete.steps);
             repeated
         }
+        6 => RawReply::send(format!("HTTP/1.1 000 No\r\n\r\n{HIDDEN_ANSWER}")),
+        7 => complete.with_header("Odd Name", "x"),
         _ => complete,
     }
 }
