Log and count targets that are kept although their records are missing

The log didn't tell whether the gateways learned of the removal late (the new listing missed it, or the reader's backoff held it up) or knew of it and didn't act on it: only the end of the wait was logged.

The line `targets: Missing from the store, kept for now.` and the gauge `missing_targets` now show removals that are put off.

--- a/crates/core/src/targets/target_registry.rs
+++ b/crates/core/src/targets/target_registry.rs
@@ -114,12 +114,7 @@
     /// Drops missing records, for use once the connection to the store has settled.
     /// Returns their targets.
     pub fn expire(&mut self) -> Vec<TargetId> {
-        let expired: Vec<TargetId> = self
-            .targets
-            .iter()
-            .filter(|(_, target)| target.is_missing)
-            .map(|(id, _)| id.clone())
-            .collect();
+        let expired: Vec<TargetId> = self.missing().cloned().collect();
         for id in &expired {
             self.drop_target(id, self.revision);
         }
@@ -131,6 +126,14 @@
         self.targets.values().map(|target| &target.record)
     }
 
+    /// Targets whose records are missing but may be written again.
+    pub fn missing(&self) -> impl Iterator<Item = &TargetId> {
+        let targets = self.targets.iter();
+        targets
+            .filter(|(_, target)| target.is_missing)
+            .map(|(id, _)| id)
+    }
+
     /// Records that are not missing, in the form in which another process can
     /// replace its own by them.
     pub fn listing(&self) -> impl Iterator<Item = &TargetRecord> {
@@ -152,8 +155,7 @@
             id: id.clone(),
             revision: *at,
         });
-        let missing = self.targets.iter().filter(|(_, target)| target.is_missing);
-        let missing = missing.map(|(id, _)| RegistryChange::Removed {
+        let missing = self.missing().map(|id| RegistryChange::Removed {
             id: id.clone(),
             revision: self.revision,
         });
--- a/crates/gateway/src/peers/gossip_message.rs
+++ b/crates/gateway/src/peers/gossip_message.rs
@@ -192,6 +192,7 @@
         }
         let count = registry.len();
         drop(registry);
+        state.report_missing(source);
         if has_targets {
             state.record_coldness(source);
         }
--- a/crates/gateway/src/process/gateway_metrics.rs
+++ b/crates/gateway/src/process/gateway_metrics.rs
@@ -68,6 +68,9 @@
     pub store_era: IntGauge,
     /// Registered targets.
     pub targets: IntGauge,
+    /// Targets that stay in use although their records are missing from the store,
+    /// since they may be written again.
+    pub missing_targets: IntGauge,
     /// Gateways that are considered alive, including this one.
     pub members: IntGauge,
     /// 1 if the node is ready for new connections, else 0.
@@ -171,6 +174,11 @@
                 "Times that the store came back from a copy",
             )?,
             targets: gauge(group, "targets", "Registered targets")?,
+            missing_targets: gauge(
+                group,
+                "missing_targets",
+                "Targets in use whose records are missing",
+            )?,
             members: gauge(group, "members", "Gateways that seem to live")?,
             ready: gauge(group, "ready", "Whether the node takes new connections")?,
             dropped_lines: gauge(group, "dropped_log_lines", "Log lines that were dropped")?,
--- a/crates/gateway/src/process/gateway_state.rs
+++ b/crates/gateway/src/process/gateway_state.rs
@@ -428,6 +428,19 @@
             || self.cold_targets.borrow().cold_count(self.now()) > 0
     }
 
+    /// Logs and counts the targets that stay in use although their records are missing
+    /// from the store. `source` is logged.
+    pub fn report_missing(&self, source: &str) {
+        let registry = self.registry.borrow();
+        let count = i64::try_from(registry.missing().count()).unwrap_or(i64::MAX);
+        if count > self.metrics.missing_targets.get() {
+            slog::info!(self.log, "targets: Missing from the store, kept for now.";
+                "source" => source.to_owned(), "revision" => %registry.revision(),
+                "missing" => count, "targets" => registry.len());
+        }
+        self.metrics.missing_targets.set(count);
+    }
+
     /// Takes the coldness that registered records state into account, after the
     /// registry may have changed. Other nodes that wait for changes are answered.
     pub fn record_coldness(&self, source: &str) {
--- a/crates/gateway/src/store/store_reader.rs
+++ b/crates/gateway/src/store/store_reader.rs
@@ -208,6 +208,7 @@
     }
 
     fn publish_target_changes(&self, is_changed: bool, source: &'static str) {
+        self.shared.report_missing(source);
         if !is_changed {
             return;
         }
