Put a removal off only if the store was silent long enough to cost records

What callers saw: after the store had cut the waiting watches, gateways sent bookings to a replica for up to 2.6 s after its entry was removed (DRAIN allows 2 s).

Cause: `StoreReader` took every failed call for an outage of the store, also a watch that was cut, which a store that works may do at any time. For 2.3 s after each one, removed records of ready targets only counted as missing, as those do that expire while targets can't reach the store. Missing targets were dropped when the next watch had returned, up to 0.8 s later. Each further failure began the time anew, so a series of cuts put a removal off without end.

Ruled out: a listing that misses the removal, and the backoff (53 and 97 ms). Without the cut the case holds.

Fix: `StoreOutage` holds when the store last responded before the trouble, and when it did so again. Targets renew records each `HeartbeatMs`, and a record ends after three such intervals, so a shorter silence costs no live target its record, and none ends in the first two. Removals outside of these times count at once. A cut watch is no failure unless the listing after it fails too; a call refused with 429 shows that the store works. Real outages are handled as before. The end of the 2.3 s is judged by the time at which the data was last confirmed, so that a connection that hangs meanwhile doesn't end them; without that, `store_troubles` loses a live target.

Tests: of the six of `cut_watches` five fail before (the outage in which records expire holds before and after); all pass now, on 1, 3 and 5 gateways.

--- a/crates/core/src/clock/time_span.rs
+++ b/crates/core/src/clock/time_span.rs
@@ -1,6 +1,6 @@
 use std::{
     fmt,
-    ops::{Add, Mul},
+    ops::{Add, Div, Mul},
     str::FromStr,
     time::Duration,
 };
@@ -83,6 +83,14 @@
     }
 }
 
+impl Div<u64> for TimeSpan {
+    type Output = Self;
+
+    fn div(self, divisor: u64) -> Self {
+        Self(self.0 / divisor)
+    }
+}
+
 impl Mul<u64> for TimeSpan {
     type Output = Self;
 
--- a/crates/core/src/settings/gateway_profile.rs
+++ b/crates/core/src/settings/gateway_profile.rs
@@ -23,6 +23,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Address of the platform's store.
     pub store_address: SocketAddr,
+    /// Interval at which targets renew their records in the platform's store.
+    pub renewal_interval: TimeSpan,
     /// CPU share of the VM, in cores.
     pub cores: f64,
     /// Maximum number of open file descriptors of the process.
--- a/crates/core/src/targets/mod.rs
+++ b/crates/core/src/targets/mod.rs
@@ -1,6 +1,7 @@
 //! Targets that register themselves: which of them may get work, including while
 //! the registry is unavailable.
 
+mod call_failure;
 mod cold_change;
 mod cold_notice;
 mod cold_targets;
@@ -21,6 +22,7 @@
 mod return_schedule;
 mod send_pacer;
 mod store_connectivity;
+mod store_outage;
 mod target_criteria;
 mod target_limits;
 mod target_loads;
@@ -30,6 +32,7 @@
 mod zone_notice;
 
 pub use self::{
+    call_failure::CallFailure,
     cold_change::ColdChange,
     cold_notice::ColdNotice,
     cold_targets::ColdTargets,
--- a/crates/core/src/targets/store_connectivity.rs
+++ b/crates/core/src/targets/store_connectivity.rs
@@ -1,38 +1,64 @@
+use super::{CallFailure, store_outage::StoreOutage};
 use crate::clock::{ClockTime, TimeSpan};
 
-/// Time after an outage within which records that expired during the outage may
-/// be written again. Live targets register again within about two seconds.
-const REREGISTRATION_PERIOD: TimeSpan = TimeSpan::from_millis(2_300);
 /// Age of the last confirmation from which the data no longer counts as current.
 /// Covers a long-polling read and its timeout.
 const MAX_CURRENT_AGE: TimeSpan = TimeSpan::from_millis(3_500);
 
 /// Whether the platform's store responds, and hence how current and complete the
 /// data read from it is.
-#[derive(Clone, Copy, Debug, Default)]
+///
+/// Designed for this load pattern: the store is unavailable for seconds, or
+/// readers lose single calls while it works, and targets leave at any time. A
+/// removed record is put off only if its target may still be live, that is if
+/// the store was silent for so long that renewals of records were missed.
+#[derive(Clone, Copy, Debug)]
 pub struct StoreConnectivity {
+    /// Interval at which targets renew their records.
+    renewal_interval: TimeSpan,
     /// When the data was last confirmed as current.
     confirmed_at: Option<ClockTime>,
-    /// When records may last have been missing in the store: the time of the last
-    /// failed call, of the end of an outage or of a restore.
-    disrupted_at: Option<ClockTime>,
+    /// The last outage, until targets have had the time to register again.
+    outage: Option<StoreOutage>,
     /// Time of the first failed call since the last successful one.
     failing_since: Option<ClockTime>,
 }
 
 impl StoreConnectivity {
+    /// Creates the state of a node that has not read the store yet.
+    #[must_use]
+    pub const fn new(renewal_interval: TimeSpan) -> Self {
+        Self {
+            renewal_interval,
+            confirmed_at: None,
+            outage: None,
+            failing_since: None,
+        }
+    }
+
     /// Records a response. Returns the length of the outage that it ends, if
     /// calls failed before.
     pub fn record_answer(&mut self, now: ClockTime) -> Option<TimeSpan> {
         self.confirmed_at = Some(now);
+        self.end_outage(now);
         let since = self.failing_since.take()?;
-        self.disrupted_at = Some(now);
         Some(now.since(since))
     }
 
-    /// Records a failed call. Returns whether it is the first of an outage.
-    pub fn record_failure(&mut self, now: ClockTime) -> bool {
-        self.disrupted_at = Some(now);
+    /// Records a failed call. Returns whether it is the first that leaves the node
+    /// without current data.
+    pub fn record_failure(&mut self, failure: CallFailure, now: ClockTime) -> bool {
+        match failure {
+            // After a long silence, the watch may have been cut by an outage that has
+            // ended since.
+            CallFailure::WatchCut
+                if !self.may_hide_targets(&StoreOutage::new(self.confirmed_at), now) =>
+            {
+                return false;
+            }
+            CallFailure::RateLimited => self.end_outage(now),
+            CallFailure::WatchCut | CallFailure::Unavailable => self.extend_outage(),
+        }
         let is_new = self.failing_since.is_none();
         self.failing_since.get_or_insert(now);
         is_new
@@ -40,8 +66,12 @@
 
     /// Records that the store was restored from a backup: records that are missing
     /// there may be written again.
-    pub const fn record_restore(&mut self, now: ClockTime) {
-        self.disrupted_at = Some(now);
+    pub fn record_restore(&mut self, now: ClockTime) {
+        let mut outage = StoreOutage::after_restore(now);
+        if self.failing_since.is_some() {
+            outage.resume();
+        }
+        self.outage = Some(outage);
     }
 
     /// Records that the data equals that of another node, for which it was current
@@ -52,7 +82,8 @@
 
     /// Records that this node stops reading the store and gets the data from other
     /// nodes.
-    pub fn record_read_stop(&mut self) {
+    pub fn record_read_stop(&mut self, now: ClockTime) {
+        self.end_outage(now);
         self.failing_since = None;
     }
 
@@ -77,13 +108,28 @@
             .is_some_and(|at| now.since(at) < MAX_CURRENT_AGE)
     }
 
-    /// Whether the store has responded for long enough that a missing record will
-    /// not be written again.
+    /// Whether a record that is missing from the data will not be written again.
     #[must_use]
     pub fn is_settled(&self, now: ClockTime) -> bool {
-        let is_undisrupted = self
-            .disrupted_at
-            .is_none_or(|at| now.since(at) >= REREGISTRATION_PERIOD);
-        self.failing_since.is_none() && is_undisrupted
+        !self
+            .outage
+            .is_some_and(|outage| self.may_hide_targets(&outage, now))
+    }
+
+    fn may_hide_targets(&self, outage: &StoreOutage, now: ClockTime) -> bool {
+        outage.may_hide_targets(self.renewal_interval, self.confirmed_at, now)
+    }
+
+    fn extend_outage(&mut self) {
+        match &mut self.outage {
+            Some(outage) if !outage.is_over(self.confirmed_at) => outage.resume(),
+            _ => self.outage = Some(StoreOutage::new(self.confirmed_at)),
+        }
+    }
+
+    const fn end_outage(&mut self, now: ClockTime) {
+        if let Some(outage) = &mut self.outage {
+            outage.end(now);
+        }
     }
 }
--- a/crates/gateway/src/process/gateway_state.rs
+++ b/crates/gateway/src/process/gateway_state.rs
@@ -176,7 +176,7 @@
             loads: RefCell::default(),
             change_count: Cell::new(0),
             changed: Event::new(),
-            store_connectivity: RefCell::default(),
+            store_connectivity: RefCell::new(StoreConnectivity::new(profile.renewal_interval)),
             idle_connections: ConnectionPool::default(),
             response_memory: ResponseMemory::default(),
             peers: PeerClient::default(),
--- a/crates/gateway/src/store/store_client.rs
+++ b/crates/gateway/src/store/store_client.rs
@@ -10,7 +10,7 @@
 use super::StoreError;
 use crate::{
     http::{
-        BodyFraming, BodyReader, HeaderList, HttpStream, RequestHead, ResponseHead,
+        BodyFraming, BodyReader, HeadError, HeaderList, HttpStream, RequestHead, ResponseHead,
         response_framing,
     },
     targets::within,
@@ -68,8 +68,8 @@
     ///
     /// # Errors
     ///
-    /// Fails when the store doesn't respond in time, has compacted the changes
-    /// away, or was restored since `after`.
+    /// Fails when the store doesn't respond in time, cuts the watch, has compacted
+    /// the changes away, or was restored since `after`.
     pub async fn watch(
         &mut self,
         prefix: &str,
@@ -77,7 +77,8 @@
         wait: TimeSpan,
     ) -> Result<StoreUpdate, StoreError> {
         let path = paths::watch(prefix, after.number.get(), wait.as_millis());
-        let (body, era) = self.get(&path, wait + RESPONSE_TIMEOUT).await?;
+        let response = self.get(&path, wait + RESPONSE_TIMEOUT).await;
+        let (body, era) = response.map_err(StoreError::during_watch)?;
         if era != after.era {
             return Err(StoreError::Restored);
         }
@@ -134,24 +135,16 @@
     address: SocketAddr,
     path: &str,
 ) -> Result<(ResponseHead, Bytes, bool), StoreError> {
-    let unreachable = |error: &dyn ToString| StoreError::Unreachable(error.to_string());
     let mut headers = HeaderList::default();
     headers.push("Host", address.to_string());
     let head = RequestHead::encode(b"GET", path.as_bytes(), &headers);
-    stream
-        .write(&head)
-        .await
-        .map_err(|error| unreachable(&error))?;
-    let head = stream
-        .read_response()
-        .await
-        .map_err(|error| unreachable(&error))?;
+    stream.write(&head).await?;
+    let head = stream.read_response().await?;
     let framing = response_framing(head.status, &head.headers);
-    let framing = framing.map_err(|error| unreachable(&error))?;
+    let framing = framing.map_err(HeadError::from)?;
     let body = BodyReader::new(framing)
         .collect(stream, MAX_BODY_BYTES)
-        .await;
-    let body = body.map_err(|error| unreachable(&error))?;
+        .await?;
     let is_reusable = !head.closes() && framing != BodyFraming::UntilClose;
     Ok((head, body, is_reusable))
 }
--- a/crates/gateway/src/store/store_reader.rs
+++ b/crates/gateway/src/store/store_reader.rs
@@ -4,7 +4,7 @@
 use verbenahub_core::{
     clock::TimeSpan,
     ids::StoreRevision,
-    targets::{RegistryChange, TargetRecord},
+    targets::{CallFailure, RegistryChange, TargetRecord},
 };
 use verbenahub_platform::{
     StoreEvent, StoreItem, decode_config, decode_target, evacuation_change, listed_evacuation,
@@ -68,12 +68,15 @@
                 Ok(never) => match never {},
                 Err(error) => error,
             };
-            self.count_call("failed");
-            if matches!(error, StoreError::HistoryCompacted | StoreError::Restored) {
-                slog::info!(self.shared.log, "store: Listing again."; "reason" => %error);
-            } else {
-                self.record_failure(&error);
-                self.wait_backoff(&mut backoff).await;
+            match error {
+                StoreError::HistoryCompacted | StoreError::Restored => {
+                    self.count_call("failed");
+                    slog::info!(self.shared.log, "store: Listing again."; "reason" => %error);
+                }
+                _ => {
+                    self.record_failure(&error);
+                    self.wait_backoff(&mut backoff).await;
+                }
             }
         }
     }
@@ -248,12 +251,19 @@
     }
 
     fn record_failure(&self, error: &StoreError) {
+        let failure = error.failure();
+        let result = if failure == CallFailure::WatchCut {
+            slog::info!(self.shared.log, "store: Watch was cut, listing again.";
+                "error" => %error);
+            "cut"
+        } else {
+            "failed"
+        };
+        self.count_call(result);
         let now = self.shared.now();
-        let is_new = self
-            .shared
-            .store_connectivity
-            .borrow_mut()
-            .record_failure(now);
+        let mut connectivity = self.shared.store_connectivity.borrow_mut();
+        let is_new = connectivity.record_failure(failure, now);
+        drop(connectivity);
         if is_new {
             self.shared.changed.notify(usize::MAX);
             slog::warn!(self.shared.log, "store: Contact lost.";
--- a/crates/gateway/src/store/store_sync.rs
+++ b/crates/gateway/src/store/store_sync.rs
@@ -188,9 +188,8 @@
             return;
         }
         slog::info!(self.shared.log, "news: Follows others.");
-        self.shared
-            .store_connectivity
-            .borrow_mut()
-            .record_read_stop();
+        let now = self.shared.now();
+        let mut connectivity = self.shared.store_connectivity.borrow_mut();
+        connectivity.record_read_stop(now);
     }
 }
