Count the silence of the store from the start of the last answered call

What callers would see on the code of the commit before: after an outage of a little more than two seconds in which records expire, a gateway takes live targets for gone, until they have registered again.

Cause: a watch that waits when the store goes out of service may still be answered when its time is over, up to 0.8 s later. That answer was taken for the last sign of life, so the silence seemed too short for a record to expire.

Fix: `StoreConnectivity` notes when the last answered call began, and judges the silence and the end of the 2.3 s by it. So that a removal doesn't wait longer for it, a watch waits no longer than the rest of the 2.3 s while records are missing; before, up to 0.8 s were added.

Evidence: `store_troubles` now has a store that ends waiting watches in order while it refuses new calls (no such trouble begins while targets still return from another: a reader can't notice a short one).

`cut_watches` passes, now with 6 gateways in the outage.

--- a/crates/core/src/targets/store_connectivity.rs
+++ b/crates/core/src/targets/store_connectivity.rs
@@ -18,6 +18,9 @@
     renewal_interval: TimeSpan,
     /// When the data was last confirmed as current.
     confirmed_at: Option<ClockTime>,
+    /// Start of the last call of this node that the store answered, while the node
+    /// reads it. A store that is no longer available may still end a watch.
+    responded_at: Option<ClockTime>,
     /// The last outage, until targets have had the time to register again.
     outage: Option<StoreOutage>,
     /// Time of the first failed call since the last successful one.
@@ -31,15 +34,17 @@
         Self {
             renewal_interval,
             confirmed_at: None,
+            responded_at: None,
             outage: None,
             failing_since: None,
         }
     }
 
-    /// Records a response. Returns the length of the outage that it ends, if
-    /// calls failed before.
-    pub fn record_answer(&mut self, now: ClockTime) -> Option<TimeSpan> {
+    /// Records the response to a call that began at `called_at`. Returns the length
+    /// of the outage that it ends, if calls failed before.
+    pub fn record_answer(&mut self, called_at: ClockTime, now: ClockTime) -> Option<TimeSpan> {
         self.confirmed_at = Some(now);
+        self.responded_at = Some(called_at);
         self.end_outage(now);
         let since = self.failing_since.take()?;
         Some(now.since(since))
@@ -52,12 +57,12 @@
             // After a long silence, the watch may have been cut by an outage that has
             // ended since.
             CallFailure::WatchCut
-                if !self.may_hide_targets(&StoreOutage::new(self.confirmed_at), now) =>
+                if !self.may_hide_targets(&StoreOutage::new(self.responded_at), now) =>
             {
                 return false;
             }
             CallFailure::RateLimited => self.end_outage(now),
-            CallFailure::WatchCut | CallFailure::Unavailable => self.extend_outage(),
+            CallFailure::WatchCut | CallFailure::Unavailable => self.extend_outage(now),
         }
         let is_new = self.failing_since.is_none();
         self.failing_since.get_or_insert(now);
@@ -83,8 +88,10 @@
     /// Records that this node stops reading the store and gets the data from other
     /// nodes.
     pub fn record_read_stop(&mut self, now: ClockTime) {
-        self.end_outage(now);
-        self.failing_since = None;
+        if self.failing_since.take().is_some() {
+            self.end_outage(now);
+        }
+        self.responded_at = None;
     }
 
     /// Time since the data was last confirmed as current. `None` without a
@@ -99,6 +106,7 @@
     /// current.
     pub fn record_pause(&mut self) {
         self.confirmed_at = None;
+        self.responded_at = None;
     }
 
     /// Whether the data was confirmed as current recently.
@@ -116,14 +124,24 @@
             .is_some_and(|outage| self.may_hide_targets(&outage, now))
     }
 
+    /// Time after which a further response shows whether missing records will be
+    /// written again.
+    #[must_use]
+    pub fn settling_time(&self, now: ClockTime) -> TimeSpan {
+        self.outage
+            .map_or(TimeSpan::ZERO, |outage| outage.settling_time(now))
+    }
+
     fn may_hide_targets(&self, outage: &StoreOutage, now: ClockTime) -> bool {
-        outage.may_hide_targets(self.renewal_interval, self.confirmed_at, now)
+        let responded_at = self.responded_at.unwrap_or(now);
+        outage.may_hide_targets(self.renewal_interval, responded_at, now)
     }
 
-    fn extend_outage(&mut self) {
+    fn extend_outage(&mut self, now: ClockTime) {
+        let responded_at = self.responded_at.unwrap_or(now);
         match &mut self.outage {
-            Some(outage) if !outage.is_over(self.confirmed_at) => outage.resume(),
-            _ => self.outage = Some(StoreOutage::new(self.confirmed_at)),
+            Some(outage) if !outage.is_over(responded_at) => outage.resume(),
+            _ => self.outage = Some(StoreOutage::new(self.responded_at)),
         }
     }
 
--- a/crates/core/src/targets/store_outage.rs
+++ b/crates/core/src/targets/store_outage.rs
@@ -51,20 +51,26 @@
         self.ended_at = None;
     }
 
-    /// Whether all targets had had the time to register again when the data was
-    /// last confirmed as current.
-    pub(super) fn is_over(&self, confirmed_at: Option<ClockTime>) -> bool {
+    /// Time left until all targets have had the time to register again. Zero if the
+    /// outage continues.
+    pub(super) fn settling_time(&self, now: ClockTime) -> TimeSpan {
         self.ended_at
-            .zip(confirmed_at)
-            .is_some_and(|(end, at)| at.since(end) >= REREGISTRATION_PERIOD)
+            .map_or(TimeSpan::ZERO, |end| now.until(end + REREGISTRATION_PERIOD))
     }
 
-    /// Whether the record of a live target may be missing at `now` from the data
-    /// that was last confirmed at `confirmed_at`.
+    /// Whether all targets had had the time to register again when the store last
+    /// responded, at `responded_at`.
+    pub(super) fn is_over(&self, responded_at: ClockTime) -> bool {
+        self.ended_at
+            .is_some_and(|end| responded_at.since(end) >= REREGISTRATION_PERIOD)
+    }
+
+    /// Whether the record of a live target may be missing at `now` from the data of
+    /// a store that last responded at `responded_at`.
     pub(super) fn may_hide_targets(
         &self,
         renewal_interval: TimeSpan,
-        confirmed_at: Option<ClockTime>,
+        responded_at: ClockTime,
         now: ClockTime,
     ) -> bool {
         if let Some(since) = self.silent_since {
@@ -77,6 +83,6 @@
                 return false;
             }
         }
-        !self.is_over(confirmed_at)
+        !self.is_over(responded_at)
     }
 }
--- a/crates/core/tests/store_troubles.rs
+++ b/crates/core/tests/store_troubles.rs
@@ -65,8 +65,10 @@
     Cuts,
     /// Readers get status 429.
     RateLimit,
-    /// Calls fail at once.
+    /// Calls fail at once, and watches are cut.
     Outage,
+    /// Calls fail at once, but watches that wait end in order.
+    Busy,
     /// Calls get no response, also after the end of the trouble.
     Silence,
 }
@@ -74,7 +76,7 @@
 impl Trouble {
     /// Whether targets can't renew their records.
     fn is_outage(self) -> bool {
-        matches!(self, Self::Outage | Self::Silence)
+        matches!(self, Self::Outage | Self::Busy | Self::Silence)
     }
 }
 
@@ -167,6 +169,15 @@
     }
 }
 
+/// Revision of the last change, or `held` if there is none.
+fn changes_revision(changes: &[RegistryChange], held: StoreRevision) -> StoreRevision {
+    match changes.last() {
+        Some(RegistryChange::Put(record)) => record.revision,
+        Some(RegistryChange::Removed { revision, .. }) => *revision,
+        None => held,
+    }
+}
+
 impl SimulatedReader {
     fn fail(&mut self, failure: CallFailure, now: u64, rng: &mut Rng) {
         self.connectivity.record_failure(failure, at(now));
@@ -193,7 +204,7 @@
         }
         let failure = match (store.trouble, self.step) {
             (Trouble::Outage, ReaderStep::Watch { .. }) => Some(CallFailure::WatchCut),
-            (Trouble::Outage, ReaderStep::List) => Some(CallFailure::Unavailable),
+            (Trouble::Outage | Trouble::Busy, ReaderStep::List) => Some(CallFailure::Unavailable),
             (Trouble::RateLimit, ReaderStep::List) => Some(CallFailure::RateLimited),
             (Trouble::Cuts, ReaderStep::Watch { .. }) => {
                 (rng.u32(0..MEAN_CUT_STEPS) == 0).then_some(CallFailure::WatchCut)
@@ -206,7 +217,7 @@
         let held = self.registry.revision();
         match self.step {
             ReaderStep::List => {
-                self.connectivity.record_answer(at(now));
+                self.connectivity.record_answer(at(now), at(now));
                 let records = store.records.keys();
                 let records = records.filter_map(|target| store.record(*target)).collect();
                 let is_settled = self.connectivity.is_settled(at(now));
@@ -216,15 +227,21 @@
             ReaderStep::Watch { until } => {
                 let changes = store.history.iter();
                 let changes = changes.filter(|(number, _)| revision(*number) > held);
+                // A store out of service only ends the watches that wait.
+                let changes = changes.filter(|_| store.trouble != Trouble::Busy);
                 let changes: Vec<RegistryChange> =
                     changes.map(|(_, change)| change.clone()).collect();
+                let is_first = self.due_at == now;
+                if is_first && store.trouble == Trouble::Busy {
+                    return self.fail(CallFailure::Unavailable, now, rng);
+                }
                 if changes.is_empty() && now < until {
                     return;
                 }
-                self.connectivity.record_answer(at(now));
+                self.connectivity.record_answer(at(self.due_at), at(now));
                 let is_settled = self.connectivity.is_settled(at(now));
-                self.registry
-                    .apply(changes, revision(store.revision), is_settled);
+                let revision = changes_revision(&changes, held);
+                self.registry.apply(changes, revision, is_settled);
                 if is_settled {
                     self.registry.expire();
                 }
@@ -232,7 +249,14 @@
         }
         self.backoff = MIN_BACKOFF_MS;
         self.due_at = now + STEP_MS;
-        let until = now + WATCH_MS;
+        let has_missing = self.registry.missing().next().is_some();
+        let settling = self.connectivity.settling_time(at(self.due_at)).as_millis();
+        let wait = if has_missing {
+            settling.min(WATCH_MS)
+        } else {
+            WATCH_MS
+        };
+        let until = self.due_at + wait;
         self.step = ReaderStep::Watch { until };
     }
 }
@@ -304,11 +328,15 @@
                 target.next_renewal = self.now + self.rng.u64(50..MAX_RETURN_MS);
             }
         }
-        self.store.trouble = match self.rng.u32(0..5) {
+        let all_returned = self.now >= self.outage_end + MAX_RETURN_MS;
+        self.store.trouble = match self.rng.u32(0..6) {
             0 if previous == Trouble::None => Trouble::RateLimit,
             1 if previous == Trouble::None => Trouble::Cuts,
             2 if previous == Trouble::None => Trouble::Outage,
-            3 if previous == Trouble::None => Trouble::Silence,
+            // The reader may not notice a short trouble of this kind, which would keep
+            // targets from registering again.
+            3 if previous == Trouble::None && all_returned => Trouble::Busy,
+            4 if previous == Trouble::None => Trouble::Silence,
             _ => Trouble::None,
         };
         let longest = match self.store.trouble {
--- a/crates/core/tests/target_registry.rs
+++ b/crates/core/tests/target_registry.rs
@@ -216,27 +216,27 @@
 fn connection_settles_some_time_after_an_outage() {
     let mut connectivity = StoreConnectivity::new(RENEWAL_INTERVAL);
     assert!(!connectivity.is_current(at(0)));
-    connectivity.record_answer(at(100));
+    connectivity.record_answer(at(100), at(100));
     assert!(connectivity.is_settled(at(100)));
     assert!(connectivity.record_failure(CallFailure::Unavailable, at(1_000)));
     assert!(!connectivity.record_failure(CallFailure::Unavailable, at(1_500)));
     assert!(!connectivity.is_settled(at(60_000)), "the outage continues");
     assert_eq!(connectivity.data_age(at(2_000)), None);
-    let outage = connectivity.record_answer(at(5_000));
+    let outage = connectivity.record_answer(at(5_000), at(5_000));
     assert_eq!(outage, Some(TimeSpan::from_millis(4_000)));
     assert!(
         !connectivity.is_settled(at(7_000)),
         "targets may register again"
     );
     assert!(!connectivity.is_settled(at(7_300)), "the data may be older");
-    connectivity.record_answer(at(7_300));
+    connectivity.record_answer(at(7_300), at(7_300));
     assert!(connectivity.is_settled(at(7_300)));
 }
 
 #[test]
 fn data_counts_as_current_for_a_limited_time() {
     let mut connectivity = StoreConnectivity::new(RENEWAL_INTERVAL);
-    connectivity.record_answer(at(1_000));
+    connectivity.record_answer(at(1_000), at(1_000));
     assert!(connectivity.is_current(at(4_000)));
     assert!(!connectivity.is_current(at(5_000)));
     connectivity.record_confirmation(TimeSpan::from_millis(1_000), at(6_000));
--- a/crates/gateway/src/store/store_reader.rs
+++ b/crates/gateway/src/store/store_reader.rs
@@ -2,7 +2,7 @@
 
 use smol::Timer;
 use verbenahub_core::{
-    clock::TimeSpan,
+    clock::{ClockTime, TimeSpan},
     ids::StoreRevision,
     targets::{CallFailure, RegistryChange, TargetRecord},
 };
@@ -18,6 +18,8 @@
 /// connection goes undetected, and is below the limit on applying a new
 /// configuration.
 const WATCH_WAIT: TimeSpan = TimeSpan::from_millis(800);
+/// Shortest wait of a watch, so that it doesn't turn into polling.
+const MIN_WATCH_WAIT: TimeSpan = TimeSpan::from_millis(10);
 /// Delay after changes before the next watch, so that one call returns further
 /// changes together. It is short compared with the limits on applying changes.
 const BATCH_DELAY: Duration = Duration::from_millis(200);
@@ -93,9 +95,11 @@
         let mut revision = self.list().await?;
         loop {
             *backoff = INITIAL_BACKOFF;
-            let watch = self.client.watch(paths::ALL_KEYS, revision, WATCH_WAIT);
+            let called_at = self.shared.now();
+            let wait = self.watch_wait(called_at);
+            let watch = self.client.watch(paths::ALL_KEYS, revision, wait);
             let update = watch.await?;
-            self.record_answer();
+            self.record_answer(called_at);
             self.log_unreadable(&update.unreadable);
             if !update.events.is_empty() {
                 self.apply_events(&update.events, update.revision);
@@ -110,9 +114,10 @@
     async fn list(&mut self) -> Result<StoreRevision, StoreError> {
         let mut listing = StoreListing::default();
         loop {
+            let called_at = self.shared.now();
             let read = self.client.read_page(paths::ALL_KEYS, listing.cursor());
             let page = read.await?;
-            self.record_answer();
+            self.record_answer(called_at);
             self.log_unreadable(&page.unreadable);
             if !listing.push(page)? {
                 break;
@@ -237,14 +242,22 @@
         self.publish_target_changes(!expired.is_empty(), "expiry");
     }
 
-    fn record_answer(&self) {
+    /// How long the next watch may wait. While records are missing, it ends when
+    /// it is certain that their targets are gone.
+    fn watch_wait(&self, now: ClockTime) -> TimeSpan {
+        if self.shared.registry.borrow().missing().next().is_none() {
+            return WATCH_WAIT;
+        }
+        let settling = self.shared.store_connectivity.borrow().settling_time(now);
+        settling.clamp(MIN_WATCH_WAIT, WATCH_WAIT)
+    }
+
+    fn record_answer(&self, called_at: ClockTime) {
         self.count_call("answered");
         let now = self.shared.now();
-        let outage = self
-            .shared
-            .store_connectivity
-            .borrow_mut()
-            .record_answer(now);
+        let mut connectivity = self.shared.store_connectivity.borrow_mut();
+        let outage = connectivity.record_answer(called_at, now);
+        drop(connectivity);
         if let Some(outage) = outage {
             slog::info!(self.shared.log, "store: Answers again."; "after" => %outage);
         }
--- a/crates/gateway/tests/cut_watches.rs
+++ b/crates/gateway/tests/cut_watches.rs
@@ -21,6 +21,9 @@
 const MAX_CUTS: usize = 100;
 /// Length of an outage in which records of live targets may expire.
 const LONG_OUTAGE: Duration = Duration::from_millis(2_800);
+/// Time in which each node gossips with others, and the targets don't register again
+/// yet.
+const GOSSIP_PAUSE: Duration = Duration::from_millis(1_300);
 /// Pause within a test between two steps of the store's trouble.
 const SHORT_PAUSE: Duration = Duration::from_millis(300);
 const TARGETS: usize = 3;
@@ -190,35 +193,43 @@
 }
 
 /// Guards against the loss of live targets: after an outage in which their records
-/// expired they stay in use until they have registered again.
+/// expired they stay in use until they have registered again, on readers and on
+/// nodes that follow them or gossip with them.
 #[test]
 fn targets_whose_records_expired_in_an_outage_stay_in_use() {
-    let fixture = CutFixture::start(3);
-    fixture.store.set_fault(StoreFault::Reset);
-    for gateway in &fixture.gateways {
-        gateway.wait_log_line(|line| line["msg"] == "store: Contact lost.");
-    }
-    thread::sleep(LONG_OUTAGE);
-    for number in 0..TARGETS {
-        fixture.store.remove(&format!("servers/t{number}"));
-    }
-    fixture.store.set_fault(StoreFault::None);
-    for gateway in &fixture.gateways {
-        gateway.wait_log_line(|line| is_put_off(line) && line["missing"] == TARGETS);
-    }
-    fixture.serve_all("missing");
-    for number in 0..TARGETS {
-        fixture.register(number);
-    }
-    for gateway in &fixture.gateways {
-        wait_for("the records", || {
-            gateway.metric("missing_targets") == Some(0.0)
+    for gateways in [1, 3, 6] {
+        let fixture = CutFixture::start(gateways);
+        fixture.store.set_fault(StoreFault::Reset);
+        wait_for("the outage", || {
+            let lines = fixture.gateways.iter().flat_map(GatewayProcess::log_lines);
+            lines
+                .into_iter()
+                .any(|line| line["msg"] == "store: Contact lost.")
         });
-        let lines = gateway.log_lines();
-        let last = lines
-            .iter()
-            .rfind(|line| line["msg"] == "targets: Changed.");
-        assert!(last.is_some_and(|line| line["targets"] == TARGETS));
+        thread::sleep(LONG_OUTAGE);
+        for number in 0..TARGETS {
+            fixture.store.remove(&format!("servers/t{number}"));
+        }
+        fixture.store.set_fault(StoreFault::None);
+        for gateway in &fixture.gateways {
+            gateway.wait_log_line(|line| is_put_off(line) && line["missing"] == TARGETS);
+        }
+        thread::sleep(GOSSIP_PAUSE);
+        fixture.serve_all("missing");
+        for number in 0..TARGETS {
+            fixture.register(number);
+        }
+        for gateway in &fixture.gateways {
+            wait_for("the records", || {
+                gateway.metric("missing_targets") == Some(0.0)
+            });
+            let lines = gateway.log_lines();
+            let changes = lines
+                .iter()
+                .filter(|line| line["msg"] == "targets: Changed.");
+            let mut counts = changes.skip_while(|line| line["targets"] != TARGETS);
+            assert!(counts.all(|line| line["targets"] == TARGETS));
+        }
+        fixture.serve_all("registered");
     }
-    fixture.serve_all("registered");
 }
