Let nodes that follow others take over their doubt about removals

What callers would see: after an outage of the store in which records expire, some gateways take live targets for gone until they have registered again, and have that much less to send requests to.

Cause: a node that follows others makes no calls to the store, so it saw no outage. Where it began to read just as the store returned, its first call succeeded, and all records missing from the listing counted as removed. To others it said that missing records were gone for good, though the node that it followed had told it otherwise, and a node in doubt that heard this in gossip dropped its targets (`source: peer, settled: true`, while the reader said false).

Fix: a node that doesn't read takes over from each reply of the node that it follows whether missing records are settled (`record_source`). If the last reply was in doubt and the node begins to read, targets have 2.3 s from its first answer to register again; if not, removals count at once.

--- a/crates/core/src/targets/store_connectivity.rs
+++ b/crates/core/src/targets/store_connectivity.rs
@@ -85,6 +85,19 @@
         self.confirmed_at = self.confirmed_at.max(Some(now - age));
     }
 
+    /// Records whether missing records are settled for the node that this one
+    /// follows. A node that reads the store judges by its own calls.
+    pub fn record_source(&mut self, is_settled: bool, now: ClockTime) {
+        if self.responded_at.is_some() {
+            return;
+        }
+        if is_settled {
+            self.outage = None;
+        } else {
+            self.extend_outage(now);
+        }
+    }
+
     /// Records that this node stops reading the store and gets the data from other
     /// nodes.
     pub fn record_read_stop(&mut self, now: ClockTime) {
--- a/crates/core/tests/target_registry.rs
+++ b/crates/core/tests/target_registry.rs
@@ -233,6 +233,38 @@
     assert!(connectivity.is_settled(at(7_300)));
 }
 
+/// Guards against the loss of live targets at a node that followed others during an
+/// outage, begins to read as the store returns, and so never saw a call fail.
+#[test]
+fn node_that_begins_to_read_takes_over_the_doubt_of_its_source() {
+    let mut connectivity = StoreConnectivity::new(RENEWAL_INTERVAL);
+    connectivity.record_source(true, at(1_000));
+    assert!(connectivity.is_settled(at(1_000)));
+    connectivity.record_source(false, at(4_000));
+    assert!(!connectivity.is_settled(at(4_000)));
+    connectivity.record_answer(at(5_000), at(5_010));
+    assert!(
+        !connectivity.is_settled(at(5_010)),
+        "records may be missing"
+    );
+    connectivity.record_source(true, at(5_100));
+    assert!(!connectivity.is_settled(at(5_100)), "the node reads itself");
+    connectivity.record_answer(at(7_310), at(7_320));
+    assert!(connectivity.is_settled(at(7_320)));
+}
+
+/// Guards against a removal that is put off at a node that begins to read in calm.
+#[test]
+fn node_that_begins_to_read_without_doubt_is_settled_at_once() {
+    let mut connectivity = StoreConnectivity::new(RENEWAL_INTERVAL);
+    connectivity.record_source(false, at(1_000));
+    connectivity.record_source(true, at(2_000));
+    connectivity.record_answer(at(2_500), at(2_510));
+    assert!(connectivity.is_settled(at(2_510)));
+    connectivity.record_read_stop(at(3_000));
+    assert!(connectivity.is_settled(at(3_000)));
+}
+
 #[test]
 fn data_counts_as_current_for_a_limited_time() {
     let mut connectivity = StoreConnectivity::new(RENEWAL_INTERVAL);
--- a/crates/gateway/src/store/store_sync.rs
+++ b/crates/gateway/src/store/store_sync.rs
@@ -158,8 +158,14 @@
         match reply {
             Ok(reply) => {
                 let is_fresh = reply.holding.age.is_some_and(|age| age <= MAX_DATA_AGE);
+                let is_settled = reply.holding.is_settled;
                 let source = address.to_string();
-                reply.apply(&self.shared, &source, self.shared.now());
+                let now = self.shared.now();
+                reply.apply(&self.shared, &source, now);
+                if is_fresh || !is_settled {
+                    let mut connectivity = self.shared.store_connectivity.borrow_mut();
+                    connectivity.record_source(is_settled, now);
+                }
                 if is_fresh {
                     FollowOutcome::Connected
                 } else {
--- a/crates/gateway/tests/cut_watches.rs
+++ b/crates/gateway/tests/cut_watches.rs
@@ -197,9 +197,14 @@
 /// nodes that follow them or gossip with them.
 #[test]
 fn targets_whose_records_expired_in_an_outage_stay_in_use() {
-    for gateways in [1, 3, 6] {
+    let fleets = [
+        (1, StoreFault::Reset),
+        (3, StoreFault::Busy),
+        (9, StoreFault::Busy),
+    ];
+    for (gateways, fault) in fleets {
         let fixture = CutFixture::start(gateways);
-        fixture.store.set_fault(StoreFault::Reset);
+        fixture.store.set_fault(fault);
         wait_for("the outage", || {
             let lines = fixture.gateways.iter().flat_map(GatewayProcess::log_lines);
             lines
