Don't let a series of cut watches lengthen the daemon's backoff

What callers would see: while the configuration service or the membership list cuts watches again and again, `verbenahubd` learns of a change up to 3.6 s later, so a target that leaves gets work for longer.

Cause: `ReadSchedule` took each cut watch for a failed read and doubled the backoff, up to 4 s. A watch waits for 2 s, so with a cut every 200 ms none succeeds, and the backoff stays there.

Fix: a watch that the platform had accepted for 50 ms and that ends before its timeout was cut; the next one follows after the initial backoff, at most 250 ms. Reads that fail at once or time out back off as before. Removals themselves were never put off here: `FeedReplica` applies deletions as they come.

Test: `a_series_of_cut_watches_does_not_lengthen_the_backoff`. Before, the waits after eight cuts are 200 to 3,700 ms and it fails; now all are at most 400 ms, and those after reads that are refused at once still grow. `cluster_feeds` (8) and `cluster_faults` pass.

--- a/crates/core/src/cluster/feed_tracker.rs
+++ b/crates/core/src/cluster/feed_tracker.rs
@@ -3,7 +3,7 @@
 use super::{
     FeedState,
     read_schedule::ReadSchedule,
-    timings::{EXPECTED_PUSH_TIMEOUT, WATCH_WAIT},
+    timings::{EXPECTED_PUSH_TIMEOUT, MIN_CUT_WATCH_TIME, READ_SLACK, WATCH_WAIT},
 };
 use crate::{
     clock::{ClockTime, TimeSpan},
@@ -161,6 +161,13 @@
 }
 
 impl PendingRead {
+    /// Whether the read, which has failed, was a watch that the platform had
+    /// accepted and that did not time out.
+    pub(super) fn is_cut(&self, now: ClockTime) -> bool {
+        let held = now.since(self.started);
+        !self.wait.is_zero() && held >= MIN_CUT_WATCH_TIME && held < self.wait + READ_SLACK
+    }
+
     /// The latest time at which the page is known to have been current. The time
     /// of arrival does not count: the answer may have waited in a socket while
     /// this process was paused. `empty` means that the page has no entries.
--- a/crates/core/src/cluster/machine_feeds.rs
+++ b/crates/core/src/cluster/machine_feeds.rs
@@ -48,8 +48,13 @@
 
     pub(super) fn on_feed_failed(&mut self, feed: FeedKind, now: ClockTime) {
         let tracker = &mut self.feeds[feed.index()];
-        if tracker.read.take().is_some() {
-            tracker.read_attempted = true;
+        let Some(reading) = tracker.read.take() else {
+            return;
+        };
+        tracker.read_attempted = true;
+        if reading.is_cut(now) {
+            tracker.schedule.record_cut(now, &mut self.rng);
+        } else {
             tracker.schedule.record_failure(now, &mut self.rng);
         }
     }
--- a/crates/core/src/cluster/read_schedule.rs
+++ b/crates/core/src/cluster/read_schedule.rs
@@ -78,6 +78,13 @@
         self.next_read_at = now + TimeSpan::from_millis(rng.u64(backoff / 2..=backoff));
     }
 
+    /// Records a watch that was cut while it waited, and schedules the next one as
+    /// after a first failure.
+    pub(super) fn record_cut(&mut self, now: ClockTime, rng: &mut Rng) {
+        self.failures = 0;
+        self.record_failure(now, rng);
+    }
+
     fn volunteer_delay(&self, nodes: usize, rng: &mut Rng) -> TimeSpan {
         let nodes = u64::try_from(nodes).unwrap_or(u64::MAX);
         let step = VOLUNTEER_SPREAD_PER_NODE_MS << self.volunteer_attempts;
--- a/crates/core/src/cluster/timings.rs
+++ b/crates/core/src/cluster/timings.rs
@@ -47,6 +47,9 @@
 pub const WATCH_WAIT: TimeSpan = TimeSpan::from_millis(2_000);
 /// Time allowed for the platform's answer in addition to the wait of the watch.
 pub const READ_SLACK: TimeSpan = TimeSpan::from_millis(2_000);
+/// Time from which a watch that fails counts as accepted and then cut, which a
+/// platform that works may do at any time.
+pub const MIN_CUT_WATCH_TIME: TimeSpan = TimeSpan::from_millis(50);
 /// Minimum interval between the starts of two reads of a feed.
 pub const MIN_READ_INTERVAL: TimeSpan = TimeSpan::from_millis(250);
 /// Backoff after the first failed read; doubles with each further failure.
--- a/crates/core/tests/cluster_machine.rs
+++ b/crates/core/tests/cluster_machine.rs
@@ -150,3 +150,41 @@
     });
     assert_eq!(pulls.count(), 1);
 }
+
+/// Guards against changes that are learned late because each watch that the platform
+/// cuts doubles the backoff.
+#[test]
+fn a_series_of_cut_watches_does_not_lengthen_the_backoff() {
+    let feed = FeedKind::Vms;
+    let reads = |actions: &[ClusterAction]| {
+        let is_read = |action: &ClusterAction| matches!(action, ClusterAction::ReadFeed { feed: read, .. } if *read == feed);
+        actions.iter().any(is_read)
+    };
+    for (held, longest) in [(200, 400), (10, 4_200)] {
+        let mut machine = watching_machine(3);
+        let mut now = 1_000 + held;
+        let mut waits = Vec::new();
+        for _ in 0..8 {
+            let failed_at = now;
+            machine.handle(
+                ClusterEvent::FeedFailed { feed },
+                ClockTime::from_millis(now),
+            );
+            loop {
+                now += 50;
+                if reads(&machine.handle(ClusterEvent::Tick, ClockTime::from_millis(now))) {
+                    break;
+                }
+            }
+            waits.push(now - failed_at);
+            now += held;
+        }
+        let measured = waits.iter().max().copied().unwrap_or_default();
+        assert!(measured <= longest, "{waits:?}");
+        assert_eq!(
+            measured > 400,
+            held == 10,
+            "refused reads back off: {waits:?}"
+        );
+    }
+}
