Cut watches and limit the rate of reads in the soak

The soak's store was busy, reset calls or was silent, but never did what a store that works may do: cut the waiting watches, and answer 429. Both are among its faults now, one in 13 each time for the cuts.

--- a/crates/gateway/tests/soak.rs
+++ b/crates/gateway/tests/soak.rs
@@ -212,14 +212,19 @@
     fn inject_fault(&mut self, rng: &mut Rng) {
         let index = rng.usize(0..GATEWAYS);
         let fault = LinkFault::ALL[rng.usize(0..LinkFault::ALL.len())];
-        match rng.u8(0..12) {
+        match rng.u8(0..13) {
             0..=2 => {
                 let proxy = rng.usize(0..self.target_proxies.len());
                 self.target_proxies[proxy].set(fault);
             }
             3 => self.store_proxies[index].set(fault),
             4 => {
-                let faults = [StoreFault::Busy, StoreFault::Reset, StoreFault::Silent];
+                let faults = [
+                    StoreFault::Busy,
+                    StoreFault::RateLimited,
+                    StoreFault::Reset,
+                    StoreFault::Silent,
+                ];
                 self.store.set_fault(faults[rng.usize(0..faults.len())]);
             }
             5 => {
@@ -234,6 +239,7 @@
                 self.write_odd_entries();
             }
             10 => self.gateways[index].signal(Signal::HUP),
+            11 => self.store.cut_watches(),
             _ => self.clear_faults(),
         }
     }
