review: a revoked key is used for 2.5 s when all readers lose the store

Cause: nodes that follow each other count as connected for 1.6 s, and each call to one waits 0.7 s more. Change: case review/14; nothing is fixed.

--- a/review/rig-3/rig.py
+++ b/review/rig-3/rig.py
@@ -13,6 +13,7 @@
 import shutil
 import signal
 import socket
+import struct
 import sys
 import tempfile
 import time
@@ -93,6 +94,13 @@
     return b""
 
 
+def reset(writer):
+    """Closes a channel with a reset."""
+    linger = struct.pack("ii", 1, 0)
+    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
 def encode_response(status, reason, fields, body):
     head = [f"HTTP/1.1 {status} {reason}", f"Content-Length: {len(body)}"]
     head += [f"{name}: {value}" for name, value in fields]
@@ -111,6 +119,9 @@
         self.events = []
         self.revision = 1
         self.changed = asyncio.Event()
+        self.channels = {}  # channel -> number of its gateway
+        self.watching = {}  # number of a gateway -> its watches that wait
+        self.turned_away = set()  # numbers of gateways whose channels are reset
         # Called with the gateway's number and the events of each watch answer.
         self.on_delivery = None
 
@@ -146,7 +157,20 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def turn_away(self, numbers):
+        """Resets the channels of some gateways, and all that they open from now on."""
+        self.turned_away = set(numbers)
+        for writer, number in list(self.channels.items()):
+            if number in self.turned_away:
+                reset(writer)
+
     async def serve(self, reader, writer):
+        own = writer.get_extra_info("sockname")[0]
+        number = int(own.split(".")[3]) - 200
+        if number in self.turned_away:
+            reset(writer)
+            return
+        self.channels[writer] = number
         try:
             while True:
                 head = await read_head(reader)
@@ -155,7 +179,7 @@
                 target = head[0].split(" ")[1]
                 path, _, text = target.partition("?")
                 query = dict(urllib.parse.parse_qsl(text, keep_blank_values=True))
-                status, answer = await self.answer(path, query, writer)
+                status, answer = await self.answer(path, query, number)
                 body = json.dumps(answer).encode()
                 fields = [("Content-Type", "application/json")]
                 await asyncio.sleep(0.004)
@@ -164,9 +188,10 @@
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
+            self.channels.pop(writer, None)
             writer.close()
 
-    async def answer(self, path, query, writer):
+    async def answer(self, path, query, number):
         prefix = query.get("Prefix", "")
         if path == "/verbenahub/kv-key":
             item = self.items.get(query.get("Key"))
@@ -185,18 +210,20 @@
                 left = end - time.monotonic()
                 if events or left <= 0:
                     if events and self.on_delivery:
-                        own = writer.get_extra_info("sockname")[0]
-                        self.on_delivery(int(own.split(".")[3]) - 200, events)
+                        self.on_delivery(number, events)
                     return 200, {"events": events, "StoreRevision": self.revision}
                 changed = self.changed
+                self.watching[number] = self.watching.get(number, 0) + 1
                 try:
                     await asyncio.wait_for(changed.wait(), left)
                 except asyncio.TimeoutError:
                     pass
+                finally:
+                    self.watching[number] -= 1
         return 404, {}
 
 
-def configuration(version, routes, services):
+def configuration(version, routes, services, keys=(KEY,)):
     return json.dumps(
         {
             "Version": version,
@@ -208,7 +235,7 @@
                 "HeaderTimeoutMs": 5000,
                 "IdleTimeoutMs": 30000,
             },
-            "Tenants": [{"Name": TENANT, "ApiKeys": [KEY]}],
+            "Tenants": [{"Name": TENANT, "ApiKeys": list(keys)}],
         }
     ).encode()
 
@@ -446,12 +473,12 @@
     return "%016x" % random.getrandbits(64)
 
 
-async def request(record, gateway, method, path, body=b"", deadline_ms=1500, fields=()):
+async def request(record, gateway, method, path, body=b"", deadline_ms=1500, fields=(), key=KEY):
     """Sends one requester attempt on a new channel. Returns (id, status or None, body)."""
     attempt = attempt_id()
     ip, port = gateway.front.split(":")
     head = [f"{method} {path} HTTP/1.1", f"Host: {HOST}", f"Attempt-Id: {attempt}"]
-    head += [f"Deadline-Ms: {deadline_ms}", f"Authorization: Bearer {KEY}"]
+    head += [f"Deadline-Ms: {deadline_ms}", f"Authorization: Bearer {key}"]
     head += [f"Content-Length: {len(body)}"] + [f"{name}: {value}" for name, value in fields]
     writer = None
 
