--- a/review/rig-3/rig.py
+++ b/review/rig-3/rig.py
@@ -223,7 +223,7 @@
         return 404, {}
 
 
-def configuration(version, routes, services, keys=(KEY,)):
+def configuration(version, routes, services, keys=(KEY,), tenants=()):
     return json.dumps(
         {
             "Version": version,
@@ -235,7 +235,7 @@
                 "HeaderTimeoutMs": 5000,
                 "IdleTimeoutMs": 30000,
             },
-            "Tenants": [{"Name": TENANT, "ApiKeys": list(keys)}],
+            "Tenants": [{"Name": TENANT, "ApiKeys": list(keys)}, *tenants],
         }
     ).encode()
 
