--- a/review/rig-3/rig.py
+++ b/review/rig-3/rig.py
@@ -508,10 +508,12 @@
 
 
 def run_case(case):
-    """Runs `case(record, store, net, folder, trouble)` and exits with its result."""
+    """Runs `case(record, store, net, folder, trouble, gateways)` and exits with its result.
+    The argument `without` leaves out the disruption."""
     where = os.path.abspath(os.path.dirname(sys.argv[0]))
     record = Record(where)
-    trouble = os.environ.get("TROUBLE", "1") != "0"
+    trouble = sys.argv[1:] != ["without"]
+    record.say("with the disruption" if trouble else "without the disruption (TROUBLE=0)")
     folder = tempfile.mkdtemp(prefix="review-")
     gateways = []
 
