Recognise a stage's answer that comes again at any age

Cause: answers to stage calls name no request, so an answer counts as that of the call if all its result names are new. The names were remembered for the service and bounded by a number (2,048). A faulty target may send an answer again for as long as its connection is used, and an older copy was new again.

Ruled out: unread bytes on an idle connection (the copy comes after the next call was written). A larger number would only move the fault.

Change: the memory belongs to the connection on which a copy can arrive (AnswerHistory, TargetConnection). It holds one hash an answer, forgets nothing, and a connection whose memory is full isn't used again. A call that frees results no longer keeps a connection on which it got the answer to a stage call.

--- a/crates/core/src/staging/mod.rs
+++ b/crates/core/src/staging/mod.rs
@@ -19,7 +19,6 @@
 mod queued_set;
 mod recent_goals;
 mod recent_times;
-mod result_names;
 mod running_call;
 mod set_end;
 mod shard_map;
@@ -36,7 +35,6 @@
     piece_end::PieceEnd,
     queue_backlog::QueueBacklog,
     recent_goals::{GoalKey, RecentGoals},
-    result_names::ResultNames,
     set_end::{SetEnd, SetFailure},
     shard_map::ShardMap,
     stage_call::{CallNumber, CallPiece, StageCall},
--- a/crates/core/src/staging/piece_end.rs
+++ b/crates/core/src/staging/piece_end.rs
@@ -12,3 +12,14 @@
     /// The target failed to produce the result.
     Failed,
 }
+
+impl PieceEnd {
+    /// Name of the result, if there is one.
+    #[must_use]
+    pub fn result(&self) -> Option<&str> {
+        match self {
+            Self::Held(name) => Some(name),
+            Self::Late | Self::InputGone | Self::NoRoom | Self::Failed => None,
+        }
+    }
+}
--- a/crates/core/src/targets/mod.rs
+++ b/crates/core/src/targets/mod.rs
@@ -1,6 +1,7 @@
 //! Targets that register themselves: which of them may get work, including while
 //! the registry is unavailable.
 
+mod answer_history;
 mod call_failure;
 mod cold_change;
 mod cold_notice;
@@ -32,6 +33,7 @@
 mod zone_notice;
 
 pub use self::{
+    answer_history::AnswerHistory,
     call_failure::CallFailure,
     cold_change::ColdChange,
     cold_notice::ColdNotice,
--- a/crates/gateway/src/staging/result_releaser.rs
+++ b/crates/gateway/src/staging/result_releaser.rs
@@ -7,7 +7,7 @@
     ids::{NodeId, PoolName},
     targets::TargetRecord,
 };
-use verbenahub_platform::{encode_stage_free, headers, paths, result_producer};
+use verbenahub_platform::{decode_stage_run, encode_stage_free, headers, paths, result_producer};
 
 use super::FreeRequest;
 use crate::{
@@ -186,7 +186,14 @@
         };
         let sent = async {
             let mut exchange = TargetExchange::begin(shared, permit, call).await?;
-            exchange.collect().await
+            exchange.hold_connection();
+            let answer = exchange.collect().await?;
+            // With a copy of an answer to an earlier call, the one to this call has yet
+            // to arrive on the connection.
+            if decode_stage_run(&answer).is_err() {
+                exchange.release_connection();
+            }
+            Ok(())
         };
         let sent = within(ANSWER_TIMEOUT, sent).await;
         if let Err(error) = sent.unwrap_or(Err(SendError::Stalled)) {
--- a/crates/gateway/src/staging/stage_call_run.rs
+++ b/crates/gateway/src/staging/stage_call_run.rs
@@ -152,10 +152,12 @@
         if ends.len() != items.len() {
             return Err(SendError::Malformed("wrong number of pieces".to_owned()));
         }
-        if !self.queue.is_own_answer(&ends) {
+        let mut results = ends.iter().filter_map(PieceEnd::result).peekable();
+        let has_results = results.peek().is_some();
+        if !exchange.record_results(results) {
             return Err(SendError::Malformed("answer to an earlier call".to_owned()));
         }
-        if ends.iter().any(|end| matches!(end, PieceEnd::Held(_))) {
+        if has_results {
             exchange.release_connection();
         } else {
             self.release_unless_copy(shared, &mut exchange);
--- a/crates/gateway/src/staging/stage_collector.rs
+++ b/crates/gateway/src/staging/stage_collector.rs
@@ -12,8 +12,8 @@
     clock::{ClockTime, TimeSpan},
     ids::PoolName,
     staging::{
-        CallEnd, CallNumber, PieceEnd, QueueBacklog, ResultNames, SetEnd, SetFailure, SetNumber,
-        StageQueue, StageSet, TargetPace,
+        CallEnd, CallNumber, QueueBacklog, SetEnd, SetFailure, SetNumber, StageQueue, StageSet,
+        TargetPace,
     },
 };
 
@@ -53,7 +53,6 @@
     /// Whether this node collects for any target, in its own view of the members.
     is_collector: Cell<bool>,
     backlog: Cell<Option<(QueueBacklog, ClockTime)>>,
-    recent_names: RefCell<ResultNames>,
 }
 
 /// Batches the pieces of requests into calls, in one queue for each service that
@@ -203,7 +202,6 @@
                 targets_as_of: Cell::new(None),
                 is_collector: Cell::new(false),
                 backlog: Cell::new(None),
-                recent_names: RefCell::default(),
             })
         });
         queue.queue.borrow_mut().set_service(spec);
@@ -285,16 +283,6 @@
             .notify_targets(shared, &self.service, names);
     }
 
-    /// Whether an answer belongs to the call that received it: none of its results
-    /// was in an earlier answer.
-    pub(super) fn is_own_answer(&self, ends: &[PieceEnd]) -> bool {
-        let names = ends.iter().filter_map(|end| match end {
-            PieceEnd::Held(name) => Some(name.as_str()),
-            _ => None,
-        });
-        self.recent_names.borrow_mut().try_insert(names)
-    }
-
     /// Returns the request of a set, unless it has been dropped.
     pub(super) fn request_of(&self, set: SetNumber) -> Option<Rc<StageRequest>> {
         let waiters = self.waiters.borrow();
--- a/crates/gateway/src/targets/connection_pool.rs
+++ b/crates/gateway/src/targets/connection_pool.rs
@@ -5,7 +5,8 @@
     ids::TargetId,
 };
 
-use crate::http::{HttpStream, ResponseHead};
+use super::TargetConnection;
+use crate::http::ResponseHead;
 
 /// Maximum number of idle connections per target. A target serves one request at
 /// a time on each connection.
@@ -19,7 +20,7 @@
 
 #[derive(Debug)]
 struct IdleConnection {
-    stream: HttpStream,
+    connection: TargetConnection,
     expires_at: ClockTime,
 }
 
@@ -32,12 +33,12 @@
 impl ConnectionPool {
     /// Takes the most recently used connection that is still usable.
     #[must_use]
-    pub fn take(&self, target: &TargetId, now: ClockTime) -> Option<HttpStream> {
+    pub fn take(&self, target: &TargetId, now: ClockTime) -> Option<TargetConnection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(target)?;
-        while let Some(connection) = connections.pop() {
-            if connection.expires_at > now && connection.stream.is_reusable() {
-                return Some(connection.stream);
+        while let Some(idle) = connections.pop() {
+            if idle.expires_at > now && idle.connection.is_reusable() {
+                return Some(idle.connection);
             }
         }
         None
@@ -45,18 +46,24 @@
 
     /// Adds a connection whose last response was read to its end. The connection
     /// is closed if it can't be reused or the pool is full.
-    pub fn put(&self, target: &TargetId, stream: HttpStream, head: &ResponseHead, now: ClockTime) {
-        if head.closes() || !stream.is_buffer_empty() {
+    pub fn put(
+        &self,
+        target: &TargetId,
+        connection: TargetConnection,
+        head: &ResponseHead,
+        now: ClockTime,
+    ) {
+        if head.closes() || !connection.stream.is_buffer_empty() {
             return;
         }
         let lifetime = announced_lifetime(head).unwrap_or(DEFAULT_IDLE_LIFETIME);
         let lifetime = lifetime.saturating_sub(IDLE_LIFETIME_MARGIN);
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(target.clone()).or_default();
-        connections.retain(|connection| connection.expires_at > now);
+        connections.retain(|idle| idle.expires_at > now);
         if connections.len() < MAX_IDLE_PER_TARGET && !lifetime.is_zero() {
             connections.push(IdleConnection {
-                stream,
+                connection,
                 expires_at: now + lifetime,
             });
         }
--- a/crates/gateway/src/targets/mod.rs
+++ b/crates/gateway/src/targets/mod.rs
@@ -11,6 +11,7 @@
 mod response_memory;
 mod send_error;
 mod send_permit;
+mod target_connection;
 mod target_exchange;
 mod wait_limit;
 
@@ -26,6 +27,7 @@
     response_memory::ResponseMemory,
     send_error::SendError,
     send_permit::SendPermit,
+    target_connection::TargetConnection,
     target_exchange::{TargetCall, TargetExchange},
     wait_limit::within,
 };
--- a/crates/gateway/src/targets/target_exchange.rs
+++ b/crates/gateway/src/targets/target_exchange.rs
@@ -1,14 +1,14 @@
-use std::{io::ErrorKind, ops::Range, sync::Arc};
+use std::{io::ErrorKind, mem, ops::Range, sync::Arc};
 
 use bytes::{Bytes, BytesMut};
 use verbenahub_core::{
     clock::{ClockTime, TimeSpan},
     policy::health::CallOutcome,
-    targets::{LoadReport, RequestLimit, RetryAfter, TargetRecord},
+    targets::{AnswerHistory, LoadReport, RequestLimit, RetryAfter, TargetRecord},
 };
 use verbenahub_platform::headers;
 
-use super::{CallPurpose, SendError, SendPermit, within};
+use super::{CallPurpose, SendError, SendPermit, TargetConnection, within};
 use crate::{
     http::{
         BodyError, BodyFraming, BodyReader, HeadError, HeaderList, HttpStream, RequestHead,
@@ -60,6 +60,8 @@
     shared: Shared,
     record: Arc<TargetRecord>,
     stream: Option<HttpStream>,
+    /// Answers to earlier calls on the connection.
+    history: AnswerHistory,
     reader: BodyReader,
     framing: BodyFraming,
     /// Whether the target has sent a response that belongs to no call on this
@@ -121,7 +123,8 @@
         log_limited_send(shared, record, &call);
         let result = Self::open(shared, record, call).await;
         match result {
-            Ok((stream, received)) => {
+            Ok((connection, received)) => {
+                let TargetConnection { stream, history } = connection;
                 let ReceivedHead {
                     head,
                     framing,
@@ -140,6 +143,7 @@
                     shared: Shared::clone(shared),
                     record: Arc::clone(record),
                     stream: Some(stream),
+                    history,
                     reader: BodyReader::new(framing),
                     framing,
                     had_stray,
@@ -160,19 +164,20 @@
         shared: &Shared,
         record: &Arc<TargetRecord>,
         call: TargetCall<'_>,
-    ) -> Result<(HttpStream, ReceivedHead), SendError> {
+    ) -> Result<(TargetConnection, ReceivedHead), SendError> {
         let idle = shared.idle_connections.take(&record.id, shared.now());
         let is_reused = idle.is_some();
-        let mut stream = match idle {
-            Some(stream) => stream,
-            None => connect(shared, record, call.purpose).await?,
+        let mut connection = match idle {
+            Some(connection) => connection,
+            None => TargetConnection::new(connect(shared, record, call.purpose).await?),
         };
+        let stream = &mut connection.stream;
         let message = encode(&call);
         let exchange = async {
             let sent = stream.write(&message).await;
             // A target may respond and close the connection before it has read
             // the whole request, so a response counts even if writing failed.
-            let response = read_response_head(&mut stream, call.request, is_reused).await;
+            let response = read_response_head(stream, call.request, is_reused).await;
             match (sent, response) {
                 (_, Ok(response)) => Ok(response),
                 (Err(error), Err(_)) => Err(SendError::ConnectionLost(error.to_string())),
@@ -181,7 +186,7 @@
         };
         let response = within(call.head_timeout, exchange).await;
         let received = response.unwrap_or(Err(SendError::Stalled))?;
-        Ok((stream, received))
+        Ok((connection, received))
     }
 
     /// Reads the next bytes of the body. Returns `None` at its end, after which
@@ -288,6 +293,15 @@
         }
     }
 
+    /// Records the names of the results in the answer. Returns false if the answer is
+    /// a copy of an earlier one on the connection.
+    pub fn record_results<'a, Names>(&mut self, names: Names) -> bool
+    where
+        Names: IntoIterator<Item = &'a str>,
+    {
+        self.history.try_insert(names)
+    }
+
     /// Sets the outcome that is recorded for the target, whatever the response.
     pub fn set_outcome(&mut self, outcome: CallOutcome) {
         self.in_flight.outcome = outcome;
@@ -313,9 +327,11 @@
         }
     }
 
-    fn keep(&self, stream: HttpStream) {
+    fn keep(&mut self, stream: HttpStream) {
+        let history = mem::take(&mut self.history);
+        let connection = TargetConnection { stream, history };
         let pool = &self.shared.idle_connections;
-        pool.put(&self.record.id, stream, &self.head, self.shared.now());
+        pool.put(&self.record.id, connection, &self.head, self.shared.now());
     }
 }
 
