Order a target's writes by their numbers within a run

Cause: the store may carry out a write seconds late. A heartbeat sent before the report of leaving was applied after it, with a higher revision, and made the replica ready again. TargetRegistry ordered records by revision alone; the platform's Sequence was not read.

Ruled out: gateways learn late (told after 0.000 s), open connections (nothing is sent until the late write).

Change: TargetRecord has the number of the write. Within one run at one address the higher number wins on all ways, which all end in TargetRegistry::put. A removed run comes back only by a higher number, and a late write of a run that was replaced changes nothing. Ignored writes are logged.

--- a/crates/core/src/targets/target_registry.rs
+++ b/crates/core/src/targets/target_registry.rs
@@ -1,5 +1,6 @@
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
+    mem,
     sync::Arc,
 };
 
@@ -26,6 +27,11 @@
 /// record only counts as missing, and its target stays in use. At any other time
 /// a removal takes effect at once.
 ///
+/// The store may carry out a write seconds after the target sent it, when newer
+/// ones are already in force. Writes of one run are ordered by their numbers: an
+/// older one changes neither the record that is known nor brings back a run that
+/// has ended.
+///
 /// A store that was restored from a backup lists an earlier state: targets that
 /// have left since the backup, or that are leaving, as ready. Records of its new
 /// era replace the known ones, with three exceptions: a draining run does not
@@ -38,8 +44,10 @@
     revision: StoreRevision,
     /// Revision at which the current era was first seen.
     era_start: RevisionNumber,
-    /// Runs whose records were removed, oldest first.
+    /// Runs whose records were removed or replaced, oldest first.
     removed_runs: VecDeque<RemovedRun>,
+    /// Late writes that were ignored, since they were last taken.
+    late_writes: Vec<TargetId>,
     /// Removals, oldest first.
     removals: VecDeque<(StoreRevision, TargetId)>,
     /// Revision since which `removals` is complete.
@@ -121,6 +129,11 @@
         expired
     }
 
+    /// Takes the targets of which late writes were ignored since the last call.
+    pub fn take_late_writes(&mut self) -> Vec<TargetId> {
+        mem::take(&mut self.late_writes)
+    }
+
     /// All known records, including those of draining targets and missing ones.
     pub fn records(&self) -> impl Iterator<Item = &Arc<TargetRecord>> {
         self.targets.values().map(|target| &target.record)
@@ -204,8 +217,14 @@
     }
 
     fn put(&mut self, mut record: TargetRecord) -> bool {
+        let mut removed_runs = self.removed_runs.iter();
+        let is_late = removed_runs.any(|run| run.is_written_late(&record));
         let Some(target) = self.targets.get_mut(&record.id) else {
             let mut removed_runs = self.removed_runs.iter();
+            if is_late {
+                self.late_writes.push(record.id);
+                return false;
+            }
             if removed_runs.any(|run| run.is_restored_in(&record, self.era_start)) {
                 return false;
             }
@@ -223,6 +242,13 @@
             target.is_missing = false;
             return false;
         }
+        if is_late || record.is_overtaken_by(&target.record) {
+            self.late_writes.push(record.id);
+            target.is_missing = false;
+            // The revision is that of the late write, which the store now holds.
+            Arc::make_mut(&mut target.record).revision = record.revision;
+            return false;
+        }
         let is_same_run = record.started_at == target.record.started_at;
         if record.revision.era > target.record.revision.era {
             if record.started_at < target.record.started_at {
@@ -236,9 +262,14 @@
         let is_same = TargetRecord {
             revision: target.record.revision,
             cold_left: target.record.cold_left,
+            write_number: target.record.write_number,
             ..record.clone()
         } == *target.record;
-        target.record = Arc::new(record);
+        let revision = record.revision;
+        let replaced = mem::replace(&mut target.record, Arc::new(record));
+        if replaced.started_at.is_some() && !replaced.is_same_run(&target.record) {
+            self.remember_run(replaced, revision);
+        }
         !is_same
     }
 
@@ -260,18 +291,19 @@
 
     fn drop_target(&mut self, id: &TargetId, revision: StoreRevision) {
         if let Some(target) = self.targets.remove(id) {
-            self.removed_runs.push_back(RemovedRun {
-                id: id.clone(),
-                started_at: target.record.started_at,
-                removed_at: revision,
-            });
-            if self.removed_runs.len() > REMOVAL_HISTORY_LIMIT {
-                self.removed_runs.pop_front();
-            }
+            self.remember_run(target.record, revision);
         }
         self.record_removal(id.clone(), revision);
     }
 
+    fn remember_run(&mut self, record: Arc<TargetRecord>, removed_at: StoreRevision) {
+        self.removed_runs
+            .push_back(RemovedRun { record, removed_at });
+        if self.removed_runs.len() > REMOVAL_HISTORY_LIMIT {
+            self.removed_runs.pop_front();
+        }
+    }
+
     fn record_removal(&mut self, id: TargetId, revision: StoreRevision) {
         self.removals.push_back((revision, id));
         if self.removals.len() > REMOVAL_HISTORY_LIMIT
--- a/crates/core/tests/cold_targets.rs
+++ b/crates/core/tests/cold_targets.rs
@@ -21,6 +21,7 @@
     Arc::new(TargetRecord {
         revision: revision(number),
         cold_left: TimeSpan::from_millis(cold_left),
+        write_number: None,
         ..record
     })
 }
--- a/crates/core/tests/engine_fixture/mod.rs
+++ b/crates/core/tests/engine_fixture/mod.rs
@@ -30,6 +30,7 @@
         started_at: Some(1),
         revision: StoreRevision::new(EraNumber::ZERO, 1),
         cold_left: TimeSpan::ZERO,
+        write_number: None,
     };
     (0..count).map(|number| Arc::new(record(number))).collect()
 }
--- a/crates/core/tests/gateway_targets.rs
+++ b/crates/core/tests/gateway_targets.rs
@@ -28,6 +28,7 @@
         started_at: None,
         revision: StoreRevision::new(EraNumber::ZERO, 1),
         cold_left: TimeSpan::ZERO,
+        write_number: None,
     };
     (0..count).map(|number| Arc::new(record(number))).collect()
 }
--- a/crates/core/tests/store_troubles.rs
+++ b/crates/core/tests/store_troubles.rs
@@ -131,6 +131,7 @@
             started_at: Some(1),
             revision: revision(number),
             cold_left: TimeSpan::ZERO,
+            write_number: None,
         })
     }
 
--- a/crates/core/tests/target_fixture/mod.rs
+++ b/crates/core/tests/target_fixture/mod.rs
@@ -23,5 +23,6 @@
         started_at,
         revision: StoreRevision::new(EraNumber::ZERO, 1),
         cold_left: TimeSpan::ZERO,
+        write_number: None,
     })
 }
--- a/crates/core/tests/target_registry.rs
+++ b/crates/core/tests/target_registry.rs
@@ -32,6 +32,7 @@
         started_at: Some(1),
         revision: revision(number),
         cold_left: TimeSpan::ZERO,
+        write_number: None,
     }
 }
 
--- a/crates/gateway/src/peers/gossip_message.rs
+++ b/crates/gateway/src/peers/gossip_message.rs
@@ -192,7 +192,7 @@
         }
         let count = registry.len();
         drop(registry);
-        state.report_missing(source);
+        state.report_registry(source);
         if has_targets {
             state.record_coldness(source);
         }
--- a/crates/gateway/src/process/gateway_state.rs
+++ b/crates/gateway/src/process/gateway_state.rs
@@ -428,9 +428,15 @@
             || self.cold_targets.borrow().cold_count(self.now()) > 0
     }
 
-    /// Logs and counts the targets that stay in use although their records are missing
-    /// from the store. `source` is logged.
-    pub fn report_missing(&self, source: &str) {
+    /// Logs the targets of which late writes were ignored, and logs and counts those
+    /// that stay in use although their records are missing from the store. `source` is
+    /// logged.
+    pub fn report_registry(&self, source: &str) {
+        let late_writes = self.registry.borrow_mut().take_late_writes();
+        for target in late_writes {
+            slog::info!(self.log, "targets: Late write ignored.";
+                "target" => %target, "source" => source.to_owned());
+        }
         let registry = self.registry.borrow();
         let count = i64::try_from(registry.missing().count()).unwrap_or(i64::MAX);
         if count > self.metrics.missing_targets.get() {
--- a/crates/gateway/src/store/store_reader.rs
+++ b/crates/gateway/src/store/store_reader.rs
@@ -216,7 +216,7 @@
     }
 
     fn publish_target_changes(&self, is_changed: bool, source: &'static str) {
-        self.shared.report_missing(source);
+        self.shared.report_registry(source);
         if !is_changed {
             return;
         }
--- a/crates/gateway/tests/platform_faults.rs
+++ b/crates/gateway/tests/platform_faults.rs
@@ -9,7 +9,7 @@
 use serde_json::json;
 use support::{
     CallerRequest, GatewayProcess, RawResponse, any_port, config, connect, default_routes,
-    default_store, register, register_with_state, route, wait_for,
+    default_store, register, register_with_state, route, target_record, wait_for,
 };
 use verbenahub_platform_standin::{
     EngineTarget, PlainTarget, RawCall, RawReply, RunLog, StoreFault, StoreServer,
@@ -247,6 +247,51 @@
     assert!(log.runs()[run_count..].iter().all(|run| run.target == "t1"));
 }
 
+/// Guards against bookings at a target that leaves. Its last heartbeat, which the store
+/// carried out after its report that it drains, made it count as ready again.
+#[test]
+fn late_heartbeat_does_not_make_a_leaving_target_ready() {
+    let store = default_store();
+    let log = RunLog::default();
+    let (first, _second) = (
+        start_registered_target(&store, &log, "t0"),
+        start_registered_target(&store, &log, "t1"),
+    );
+    let gateways = GatewayProcess::start_fleet(3, store.address());
+    for gateway in &gateways {
+        gateway.wait_log_line(|line| line["targets"] == 2);
+    }
+    let write = |state: &str, number: u64| {
+        let mut record = target_record("desk", first.server().address());
+        record["State"] = json!(state);
+        record["Sequence"] = json!(number);
+        store.put("servers/t0", &record);
+    };
+    write("draining", 9);
+    for (number, target_count) in [(8, 3), (7, 4)] {
+        write("ready", number);
+        // Gateways that know of this target have received the write before it.
+        register(&store, &format!("m{number}"), "other", any_port());
+        for gateway in &gateways {
+            gateway.wait_log_line(|line| line["targets"] == target_count);
+        }
+        let run_count = log.runs().len();
+        for gateway in &gateways {
+            for _ in 0..20 {
+                assert_eq!(response_status(gateway, "/look/a", "key-one"), 200);
+            }
+        }
+        let runs = &log.runs()[run_count..];
+        assert!(runs.iter().all(|run| run.target == "t1"), "{number}");
+    }
+    // The target has withdrawn its leaving.
+    write("ready", 10);
+    wait_for("the target to be used", || {
+        response_status(&gateways[0], "/look/a", "key-one");
+        log.runs().last().is_some_and(|run| run.target == "t0")
+    });
+}
+
 #[test]
 fn requests_are_served_during_a_store_outage_and_changes_follow_after_it() {
     for fault in [StoreFault::Busy, StoreFault::Reset, StoreFault::Silent] {
