Take any name of a tenant, service or zone

What callers saw: a version that adds a tenant with blanks in its name was never adopted.

Cause: check_name, our rule for identifiers of our own, was applied to names that others choose, and one refused name made the whole version unusable. Each gateway logged the refusal at once, so nothing else held the version up.

Change: opaque_name declares names of any text up to 4,096 bytes: services, availability zones, and WorkspaceName for tenants of the configuration. A tenant whose name no header can hold unchanged is left out alone, with an error that names its place; its keys are refused and the rest of the version is in force.

--- a/crates/core/src/ids/macros.rs
+++ b/crates/core/src/ids/macros.rs
@@ -1,6 +1,35 @@
-/// Declares a validated string identifier that is cheap to clone.
+/// Declares a string identifier of this project, which is cheap to clone. It holds
+/// only characters that need no escaping in keys, paths and tickets.
 macro_rules! text_id {
     ($(#[$meta:meta])* $name:ident, $kind:literal) => {
+        name_type! {
+            $(#[$meta])*
+            $name, $kind, $crate::ids::name_error::check_name
+        }
+    };
+}
+
+/// Declares a name that others have chosen, which is cheap to clone. It may hold any
+/// text of a limited length that passes the check, and is only ever compared as a
+/// whole.
+macro_rules! opaque_name {
+    ($(#[$meta:meta])* $name:ident, $kind:literal) => {
+        name_type! {
+            $(#[$meta])*
+            $name, $kind, $crate::ids::name_error::check_length
+        }
+    };
+    ($(#[$meta:meta])* $name:ident, $kind:literal, $check:path) => {
+        name_type! {
+            $(#[$meta])*
+            $name, $kind, $crate::ids::name_error::check_length, $check
+        }
+    };
+}
+
+/// Declares a string type whose values pass all checks.
+macro_rules! name_type {
+    ($(#[$meta:meta])* $name:ident, $kind:literal, $($check:path),+) => {
         $(#[$meta])*
         #[derive(
             Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize,
@@ -14,10 +43,10 @@
             ///
             /// # Errors
             ///
-            /// Fails when the text is empty, too long or contains a character
-            /// other than ASCII letters, digits, `-`, `_` and `.`.
+            /// Fails when the text is empty, too long or contains a character that
+            /// is not allowed.
             pub fn new(text: &str) -> Result<Self, $crate::ids::NameError> {
-                $crate::ids::name_error::check_name($kind, text)?;
+                $($check($kind, text)?;)+
                 Ok(Self(text.into()))
             }
 
--- a/crates/core/src/ids/mod.rs
+++ b/crates/core/src/ids/mod.rs
@@ -19,6 +19,7 @@
 mod store_revision;
 mod target_id;
 mod workspace_id;
+mod workspace_name;
 mod write_number;
 mod zone_name;
 
@@ -28,5 +29,5 @@
     node_id::NodeId, pipeline_name::PipelineName, pool_name::PoolName, region_name::RegionName,
     request_id::RequestId, revision_number::RevisionNumber, stage_name::StageName,
     store_revision::StoreRevision, target_id::TargetId, workspace_id::WorkspaceId,
-    write_number::WriteNumber, zone_name::ZoneName,
+    workspace_name::WorkspaceName, write_number::WriteNumber, zone_name::ZoneName,
 };
--- a/crates/core/src/ids/name_error.rs
+++ b/crates/core/src/ids/name_error.rs
@@ -28,6 +28,20 @@
         /// The first character that is not allowed.
         character: char,
     },
+    /// The text contains a control character, which no header can hold.
+    #[error("a {kind} holds no control characters, such as {character:?}")]
+    ControlCharacter {
+        /// Kind of identifier, such as `workspace name`.
+        kind: &'static str,
+        /// The first control character.
+        character: char,
+    },
+    /// The text begins or ends with a space, which a header does not preserve.
+    #[error("a {kind} neither begins nor ends with a space")]
+    OuterSpace {
+        /// Kind of identifier, such as `workspace name`.
+        kind: &'static str,
+    },
     /// The text is not a decimal number.
     #[error("a {kind} is a decimal number, not `{text}`")]
     NotNumber {
@@ -38,22 +52,15 @@
     },
 }
 
-/// Maximum length of an identifier, in bytes.
-const MAX_NAME_BYTES: usize = 96;
+/// Maximum length of an identifier of this project, in bytes.
+const MAX_ID_BYTES: usize = 96;
+/// Maximum length of a name that others have chosen, in bytes. Longer ones do not fit
+/// in the head of a message.
+const MAX_NAME_BYTES: usize = 4_096;
 
 /// Checks that `text` is a valid identifier; `kind` names it in errors.
 pub(super) fn check_name(kind: &'static str, text: &str) -> Result<(), NameError> {
-    if text.is_empty() {
-        return Err(NameError::Empty { kind });
-    }
-    if text.len() > MAX_NAME_BYTES {
-        let length = text.len();
-        return Err(NameError::TooLong {
-            kind,
-            limit: MAX_NAME_BYTES,
-            length,
-        });
-    }
+    check_limit(kind, text, MAX_ID_BYTES)?;
     let allowed =
         |character: char| character.is_ascii_alphanumeric() || matches!(character, '-' | '_' | '.');
     match text.chars().find(|character| !allowed(*character)) {
@@ -61,3 +68,20 @@
         None => Ok(()),
     }
 }
+
+/// Checks that `text` is a name that others may have chosen; `kind` names it in errors.
+pub(super) fn check_length(kind: &'static str, text: &str) -> Result<(), NameError> {
+    check_limit(kind, text, MAX_NAME_BYTES)
+}
+
+fn check_limit(kind: &'static str, text: &str, limit: usize) -> Result<(), NameError> {
+    match text.len() {
+        0 => Err(NameError::Empty { kind }),
+        length if length > limit => Err(NameError::TooLong {
+            kind,
+            limit,
+            length,
+        }),
+        _ => Ok(()),
+    }
+}
--- a/crates/core/src/ids/pool_name.rs
+++ b/crates/core/src/ids/pool_name.rs
@@ -1,4 +1,4 @@
-text_id! {
+opaque_name! {
     /// Name of a pool, a group of interchangeable targets.
     ///
     /// The gateway and its configuration call a pool a service. A field named
--- a/crates/core/src/ids/zone_name.rs
+++ b/crates/core/src/ids/zone_name.rs
@@ -1,4 +1,4 @@
-text_id! {
+opaque_name! {
     /// Name of an availability zone.
     ZoneName, "zone name"
 }
--- a/crates/core/src/routes/workspace_keys.rs
+++ b/crates/core/src/routes/workspace_keys.rs
@@ -2,13 +2,13 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{ids::WorkspaceId, records::SecretDigest};
+use crate::{ids::WorkspaceName, records::SecretDigest};
 
 /// Result of checking a caller's API key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum AuthResult<'a> {
     /// The key belongs to a workspace.
-    Authenticated(&'a WorkspaceId),
+    Authenticated(&'a WorkspaceName),
     /// No key was sent, or no workspace has this key.
     Unauthenticated,
     /// The configuration has no keys; all callers are allowed.
@@ -18,7 +18,7 @@
 /// API keys of all workspaces, stored only as digests.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct WorkspaceKeys {
-    holders: HashMap<String, WorkspaceId>,
+    holders: HashMap<String, WorkspaceName>,
     required: bool,
 }
 
@@ -33,7 +33,7 @@
     }
 
     /// Adds a key of a workspace.
-    pub fn insert(&mut self, key: &[u8], workspace: WorkspaceId) {
+    pub fn insert(&mut self, key: &[u8], workspace: WorkspaceName) {
         self.holders
             .insert(SecretDigest::of(key).to_hex(), workspace);
     }
--- a/crates/gateway/src/front/active_request.rs
+++ b/crates/gateway/src/front/active_request.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use verbenahub_core::{
     clock::{ClockTime, TimeSpan},
-    ids::{PoolName, WorkspaceId},
+    ids::{PoolName, WorkspaceName},
     policy::quarantine::PartKey,
     routes::{RouteConfig, RouteSpec},
 };
@@ -43,7 +43,7 @@
     /// Parts of the prompt that other requests may share: all but the last one.
     pub shared_parts: Vec<PartKey>,
     /// Workspace of the caller, if the request was authenticated.
-    pub workspace: Option<WorkspaceId>,
+    pub workspace: Option<WorkspaceName>,
     /// Configuration at the time of arrival, which the request keeps until it
     /// ends.
     pub config: Rc<RouteConfig>,
--- a/crates/gateway/src/staging/stage_flow.rs
+++ b/crates/gateway/src/staging/stage_flow.rs
@@ -4,7 +4,7 @@
 use verbenahub_core::{
     clock::{ClockTime, TimeSpan},
     engines::ZoneResults,
-    ids::{PoolName, WorkspaceId, ZoneName},
+    ids::{PoolName, WorkspaceName, ZoneName},
     routes::{RouteConfig, RouteSpec},
     staging::{GraphProgress, PathEstimate},
     units::ByteSize,
@@ -57,7 +57,7 @@
     /// Route of the request.
     pub route: &'a RouteSpec,
     /// Workspace of the caller, if it has one.
-    pub workspace: Option<&'a WorkspaceId>,
+    pub workspace: Option<&'a WorkspaceName>,
     /// Identifier of the request.
     pub request: &'a str,
     /// Key from which the stages without inputs produce their pieces.
--- a/crates/gateway/src/store/store_reader.rs
+++ b/crates/gateway/src/store/store_reader.rs
@@ -184,7 +184,11 @@
             return;
         }
         match decode_config(item) {
-            Ok(config) => {
+            Ok((config, unusable)) => {
+                for error in &unusable {
+                    slog::error!(self.shared.log, "config: Tenant not usable, its keys are refused.";
+                        "version" => config.version, "error" => %error);
+                }
                 self.shared.update_config(config, "store");
             }
             Err(error) => slog::error!(self.shared.log,
