Follow only nodes that read the store, and look for one at once

Cause: a node counted as connected while its data was young, so nodes that had lost all readers followed each other and held each other's long polls for 0.7 s. Sources were asked one after the other: 1.05 s for the silent reader and two such waits before a node read the store itself.

Ruled out: a slow listing (some 10 ms). A silent reader alone stays within the bound.

Change: only a node that reads the store and got its last answer within 1.25 s is connected; another one answers a long poll at once. A node that loses its source asks all others at once (/status), stays with the first that is connected, and else reads the store; followers do so a round later. Fallback readers give way only to one before them. A reader that is turned away follows others. SourceSearch holds the times as one budget, 1.75 s at most. futures-util, in the lock file already, polls the calls together.

--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -4,6 +4,8 @@
 mod fleet_table;
 mod gossip_schedule;
 mod reader_role;
+mod source_list;
+mod source_search;
 mod startup_state;
 mod weighted_order;
 
@@ -12,6 +14,8 @@
     fleet_table::FleetTable,
     gossip_schedule::GossipSchedule,
     reader_role::{ReaderPlan, ReaderRole},
+    source_list::SourceList,
+    source_search::SourceSearch,
     startup_state::StartupState,
     weighted_order::weighted_order,
 };
--- a/crates/core/src/fleet/reader_role.rs
+++ b/crates/core/src/fleet/reader_role.rs
@@ -30,6 +30,9 @@
     pub role: ReaderRole,
     /// Other nodes to follow, the preferred one first.
     pub sources: Vec<NodeId>,
+    /// Number of them, from the first on, that read the store in preference to this
+    /// node.
+    pub preferred: usize,
 }
 
 impl ReaderPlan {
@@ -45,8 +48,13 @@
             _ => ReaderRole::Follower,
         };
         let candidates = order.into_iter().take(READER_AND_STANDBY_COUNT);
-        let sources = candidates.filter(|node| *node != own).cloned().collect();
-        Self { role, sources }
+        let sources: Vec<NodeId> = candidates.filter(|node| *node != own).cloned().collect();
+        let preferred = position.unwrap_or(sources.len()).min(sources.len());
+        Self {
+            role,
+            sources,
+            preferred,
+        }
     }
 
     /// Returns why the node reads the store regularly, or nothing if it does
--- a/crates/core/src/targets/store_connectivity.rs
+++ b/crates/core/src/targets/store_connectivity.rs
@@ -16,6 +16,8 @@
 pub struct StoreConnectivity {
     /// Interval at which targets renew their records.
     renewal_interval: TimeSpan,
+    /// Whether this node reads the store until further notice.
+    is_reading: bool,
     /// When the data was last confirmed as current.
     confirmed_at: Option<ClockTime>,
     /// Start of the last call of this node that the store answered, while the node
@@ -33,6 +35,7 @@
     pub const fn new(renewal_interval: TimeSpan) -> Self {
         Self {
             renewal_interval,
+            is_reading: false,
             confirmed_at: None,
             responded_at: None,
             outage: None,
@@ -98,12 +101,18 @@
         }
     }
 
+    /// Records that this node begins to read the store.
+    pub const fn record_read_start(&mut self) {
+        self.is_reading = true;
+    }
+
     /// Records that this node stops reading the store and gets the data from other
     /// nodes.
     pub fn record_read_stop(&mut self, now: ClockTime) {
         if self.failing_since.take().is_some() {
             self.end_outage(now);
         }
+        self.is_reading = false;
         self.responded_at = None;
     }
 
@@ -115,6 +124,12 @@
         confirmed.map(|at| now.since(at))
     }
 
+    /// Whether this node reads the store, and its last call was answered.
+    #[must_use]
+    pub const fn is_connected(&self) -> bool {
+        self.is_reading && self.responded_at.is_some() && self.failing_since.is_none()
+    }
+
     /// Records that the process was suspended: the data no longer counts as
     /// current.
     pub fn record_pause(&mut self) {
--- a/crates/gateway/src/peers/gossip_message.rs
+++ b/crates/gateway/src/peers/gossip_message.rs
@@ -1,7 +1,7 @@
 use serde::{Deserialize, Serialize};
 use verbenahub_core::{
     clock::{ClockTime, TimeSpan},
-    fleet::FleetMember,
+    fleet::{FleetMember, SourceSearch},
     ids::StoreRevision,
     policy::quarantine::QuarantineNotice,
     routes::{ConfigRank, RouteConfig},
@@ -23,6 +23,9 @@
     /// Whether the store has answered for long enough that targets missing from
     /// the registry are gone for good.
     pub is_settled: bool,
+    /// Whether the node reads the store and its calls are answered.
+    #[serde(default)]
+    pub reads_store: bool,
 }
 
 /// Sent to another gateway in a gossip round.
@@ -112,9 +115,26 @@
             targets: state.registry.borrow().revision(),
             age: contact.data_age(now),
             is_settled: contact.is_settled(now),
+            reads_store: contact.is_connected(),
         }
     }
 
+    /// Time for which the node counts as connected to the store without a further
+    /// answer. Zero if it isn't connected.
+    #[must_use]
+    pub fn connection_left(&self) -> TimeSpan {
+        let age = self.age.filter(|_| self.reads_store);
+        age.map_or(TimeSpan::ZERO, |age| {
+            SourceSearch::MAX_DATA_AGE.saturating_sub(age)
+        })
+    }
+
+    /// Whether the node is connected to the store.
+    #[must_use]
+    pub fn is_connected(&self) -> bool {
+        !self.connection_left().is_zero()
+    }
+
     /// Whether the configuration or the targets are newer than those of `other`.
     #[must_use]
     pub fn is_newer_than(&self, other: &Self) -> bool {
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -32,6 +32,9 @@
 pub const ENGINE_WAIT_PATH: &str = "/engine-wait";
 /// Path for long polls for a newer configuration or newer targets.
 pub const FOLLOW_PATH: &str = "/follow";
+/// Path for asking which versions a node holds and whether it is connected to the
+/// store.
+pub const STATUS_PATH: &str = "/status";
 /// Path for permits for calls to targets that have named a limit.
 pub const PERMIT_PATH: &str = "/permit";
 /// Path for reporting crashes of engines to the node that decides on quarantines.
--- a/crates/gateway/src/peers/peer_listener.rs
+++ b/crates/gateway/src/peers/peer_listener.rs
@@ -9,7 +9,7 @@
 use super::{
     ANSWER_QUERY_PATH, CRASH_PATH, ENGINE_PATH, ENGINE_PROGRESS_PATH, ENGINE_WAIT_PATH,
     FOLLOW_PATH, FREE_PATH, FollowRequest, GOSSIP_PATH, GossipMessage, GossipReply, PERMIT_PATH,
-    PROBE_PATH, PeerAck, QUARANTINE_PATH, ReplicaStatus, STAGE_PATH, UpdateReply,
+    PROBE_PATH, PeerAck, QUARANTINE_PATH, ReplicaStatus, STAGE_PATH, STATUS_PATH, UpdateReply,
 };
 use crate::{
     engines::{EngineProgress, ReadWait},
@@ -134,6 +134,9 @@
                 let reply = UpdateReply::since(&self.shared, &request.holding, self.shared.now());
                 self.encode(&reply)
             }
+            path if path == STATUS_PATH.as_bytes() => {
+                self.encode(&ReplicaStatus::of(&self.shared, self.shared.now()))
+            }
             path if path == PERMIT_PATH.as_bytes() => {
                 let query: PermitQuery = self.decode(body)?;
                 let reply = self.shared.permits.answer(&self.shared, query);
@@ -169,17 +172,18 @@
         }
     }
 
-    /// Waits until this node holds something newer or has no contact to the store,
+    /// Waits until this node holds something newer or is not connected to the store,
     /// for at most the time that the request gives.
     async fn wait_for_update(&self, request: &FollowRequest) {
         let newer = async {
             loop {
                 let changed = self.shared.changed.listen();
                 let holding = ReplicaStatus::of(&self.shared, self.shared.now());
-                if holding.is_newer_than(&request.holding) || holding.age.is_none() {
+                let left = holding.connection_left();
+                if holding.is_newer_than(&request.holding) || left.is_zero() {
                     break;
                 }
-                changed.await;
+                within(left, changed).await;
             }
             // Changes often arrive in groups.
             Timer::after(UPDATE_BATCH_DELAY).await;
--- a/crates/gateway/src/store/store_sync.rs
+++ b/crates/gateway/src/store/store_sync.rs
@@ -1,37 +1,28 @@
 use std::{net::SocketAddr, time::Duration};
 
+use futures_lite::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use smol::{Task, Timer};
 use verbenahub_core::{
     clock::{ClockTime, TimeSpan},
-    fleet::{ReaderPlan, StartupState},
+    fleet::{ReaderPlan, SourceList, SourceSearch, StartupState},
+    ids::NodeId,
 };
 
 use super::StoreReader;
 use crate::{
-    peers::{FOLLOW_PATH, FollowRequest, ReplicaStatus, UpdateReply},
+    peers::{
+        FOLLOW_PATH, FollowRequest, PeerAck, PeerError, ReplicaStatus, STATUS_PATH, UpdateReply,
+    },
     process::Shared,
+    targets::within,
 };
 
-/// How long a followed node waits for changes before it replies. It limits how
-/// long an unresponsive node goes undetected.
-const FOLLOW_WAIT: TimeSpan = TimeSpan::from_millis(700);
-/// Time for the transmission of the reply, in addition to `FOLLOW_WAIT`.
-const REPLY_SLACK: TimeSpan = TimeSpan::from_millis(350);
-/// Maximum age of the data of a followed node that counts as connected to the
-/// store. It allows for the node's own watch of the store.
-const MAX_DATA_AGE: TimeSpan = TimeSpan::from_millis(1_600);
-/// Number of followed nodes that may fail to respond in a round before this node
-/// starts to read the store while the round continues.
-const MAX_UNRESPONSIVE: u32 = 1;
 /// Interval at which a reader checks whether it still has the reader role.
-const ROLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
-/// Delay after a round in which no followed node was connected to the store.
-const RETRY_DELAY: Duration = Duration::from_millis(400);
-/// Maximum number of nodes that are asked in one round: the readers, and some of
-/// their fallbacks.
-const MAX_ROUND_SOURCES: usize = 6;
-/// Number of these that are the same in each round. The rest rotate at random.
-const FIXED_SOURCES: usize = 4;
+const ROLE_CHECK_INTERVAL: TimeSpan = TimeSpan::from_secs(1);
+/// Interval at which a node that reads the store as a fallback looks for one that
+/// reads it in preference.
+const HANDOVER_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Keeps this node up to date with the platform's store: by reading the store, or
 /// by following nodes that read it.
@@ -39,11 +30,12 @@
 pub struct StoreSync {
     shared: Shared,
     started_at: ClockTime,
+    search: SourceSearch,
     reader: Option<Task<()>>,
 }
 
-/// Result of a call to a followed node.
-enum FollowOutcome {
+/// What a call to another node shows of it.
+enum SourceState {
     Connected,
     Disconnected,
     Unresponsive,
@@ -55,6 +47,7 @@
     pub fn new(shared: Shared) -> Self {
         Self {
             started_at: shared.now(),
+            search: SourceSearch::default(),
             shared,
             reader: None,
         }
@@ -75,13 +68,51 @@
                 .borrow()
                 .eligible_members(self.shared.now());
             let plan = ReaderPlan::new(&self.shared.profile.node, &members);
-            if let Some(reason) = plan.read_reason(&self.startup()) {
+            let read_reason = plan.read_reason(&self.startup());
+            if let Some(reason) = read_reason {
                 self.start_reading(reason);
-                Timer::after(ROLE_CHECK_INTERVAL).await;
-                continue;
             }
-            if !self.follow(&plan).await {
-                Timer::after(RETRY_DELAY).await;
+            if self.connection_left().is_zero() {
+                self.follow(&plan).await;
+            } else if read_reason.is_some() {
+                self.wait_while_connected().await;
+            } else {
+                self.hand_over(&plan).await;
+            }
+        }
+    }
+
+    /// Time for which this node counts as connected to the store.
+    fn connection_left(&self) -> TimeSpan {
+        ReplicaStatus::of(&self.shared, self.shared.now()).connection_left()
+    }
+
+    /// Waits until this node loses the store, or its role may have changed.
+    async fn wait_while_connected(&self) {
+        let lost = async {
+            loop {
+                let changed = self.shared.changed.listen();
+                let left = self.connection_left();
+                if left.is_zero() {
+                    return;
+                }
+                within(left, changed).await;
+            }
+        };
+        within(ROLE_CHECK_INTERVAL, lost).await;
+    }
+
+    /// Stops reading the store as a fallback once a node that reads it in preference is
+    /// connected. If nodes gave way to any other, two could give way to each other.
+    async fn hand_over(&mut self, plan: &ReaderPlan) {
+        let preferred = self.sources(plan).preferred().to_vec();
+        match self.probe(preferred).await {
+            Ok(source) => {
+                self.search.record_connected(source);
+                self.stop_reading();
+            }
+            Err(_) => {
+                Timer::after(HANDOVER_INTERVAL).await;
             }
         }
     }
@@ -95,87 +126,136 @@
         }
     }
 
-    /// Asks the nodes of a plan in order of preference, until one is connected to
-    /// the store. Returns whether one was.
-    async fn follow(&mut self, plan: &ReaderPlan) -> bool {
+    /// Waits for changes at the node that was connected to the store. If it no longer
+    /// is, looks for another one, and reads the store if there is none.
+    async fn follow(&mut self, plan: &ReaderPlan) {
+        let sources = self.sources(plan);
         let mut unresponsive = 0;
-        for address in self.sources(plan) {
-            match self.follow_node(address).await {
-                FollowOutcome::Connected => {
-                    self.stop_reading();
-                    return true;
-                }
-                FollowOutcome::Disconnected => {}
-                FollowOutcome::Unresponsive => unresponsive += 1,
+        let source = self.search.source(&sources);
+        if let Some(source) = source {
+            match self.follow_node(source).await {
+                SourceState::Connected => return self.keep_source(plan, source),
+                SourceState::Disconnected => {}
+                SourceState::Unresponsive => unresponsive += 1,
             }
-            if unresponsive > MAX_UNRESPONSIVE
-                && plan.reads_as_fallback(&self.startup(), unresponsive)
-            {
-                self.start_reading("followed nodes do not respond");
+        }
+        match self.probe(sources.without(source)).await {
+            Ok(other) => {
+                slog::info!(self.shared.log, "news: Follows another node.";
+                    "peer" => %other, "before" => source.map(|before| before.to_string()),
+                    "unresponsive" => unresponsive);
+                self.keep_source(plan, other);
+            }
+            Err(silent) => {
+                self.search.record_failed_round();
+                let startup = self.startup();
+                if self
+                    .search
+                    .reads_store(plan, &startup, unresponsive + silent)
+                {
+                    self.start_reading("no other node is connected to the store");
+                }
+                Timer::after(Duration::from(self.search.pause())).await;
             }
         }
-        if plan.reads_as_fallback(&self.startup(), unresponsive) {
-            self.start_reading("no followed node is connected to the store");
+    }
+
+    /// Follows a node from now on. A reader goes on reading the store as well.
+    fn keep_source(&mut self, plan: &ReaderPlan, source: SocketAddr) {
+        self.search.record_connected(source);
+        if plan.read_reason(&self.startup()).is_none() {
+            self.stop_reading();
         }
-        false
     }
 
-    fn sources(&self, plan: &ReaderPlan) -> Vec<SocketAddr> {
+    /// Asks nodes at once whether they are connected to the store. Returns the first
+    /// that is, or else the number of those that did not respond.
+    async fn probe(&self, nodes: Vec<SocketAddr>) -> Result<SocketAddr, u32> {
+        let calls = nodes.into_iter().map(async |node| {
+            let status = self.shared.peers.call::<_, ReplicaStatus>(
+                node,
+                STATUS_PATH,
+                &PeerAck,
+                SourceSearch::PROBE_TIMEOUT,
+            );
+            let status = within(SourceSearch::PROBE_TIMEOUT, status).await;
+            let status = status.unwrap_or(Err(PeerError::Timeout));
+            (node, status)
+        });
+        let mut calls: FuturesUnordered<_> = calls.collect();
+        let mut silent = 0;
+        while let Some((node, status)) = calls.next().await {
+            match status {
+                Ok(status) if status.is_connected() => return Ok(node),
+                Ok(_) => {}
+                Err(error) => {
+                    silent += 1;
+                    slog::debug!(self.shared.log, "news: Node did not tell its status.";
+                        "peer" => %node, "error" => %error);
+                }
+            }
+        }
+        Err(silent)
+    }
+
+    fn sources(&self, plan: &ReaderPlan) -> SourceList {
         let fleet = self.shared.fleet.borrow();
-        let known = plan
-            .sources
-            .iter()
-            .filter_map(|node| fleet.address_of(node));
-        let mut addresses: Vec<SocketAddr> = known.collect();
+        let preferred_nodes = &plan.sources[..plan.preferred];
+        let known = |nodes: &[NodeId]| -> Vec<SocketAddr> {
+            let addresses = nodes.iter().filter_map(|node| fleet.address_of(node));
+            addresses.collect()
+        };
+        let mut addresses = known(&plan.sources);
+        let mut preferred = known(preferred_nodes).len();
         if addresses.is_empty() || self.startup().is_starting() {
             let own = self.shared.profile.peer_address;
             let seeds = self.shared.profile.seeds.iter().copied();
             let seeds: Vec<SocketAddr> = seeds.filter(|seed| *seed != own).collect();
             addresses.retain(|address| !seeds.contains(address));
             addresses.splice(0..0, seeds);
+            preferred = addresses.len();
         }
-        if addresses.len() > FIXED_SOURCES {
-            let rest = addresses.len() - FIXED_SOURCES;
-            let rotation = usize::try_from(self.shared.random() % 64).unwrap_or_default();
-            addresses[FIXED_SOURCES..].rotate_left(rotation % rest);
+        SourceList {
+            addresses,
+            preferred,
         }
-        addresses.truncate(MAX_ROUND_SOURCES);
-        addresses
     }
 
-    async fn follow_node(&self, address: SocketAddr) -> FollowOutcome {
+    /// Waits for changes at a node, and applies them.
+    async fn follow_node(&self, address: SocketAddr) -> SourceState {
         let request = FollowRequest {
             holding: ReplicaStatus::of(&self.shared, self.shared.now()),
-            wait: FOLLOW_WAIT,
+            wait: SourceSearch::LONG_POLL,
         };
-        let timeout = FOLLOW_WAIT + REPLY_SLACK;
+        let timeout = SourceSearch::LONG_POLL_TIMEOUT;
         let peers = &self.shared.peers;
         let reply = peers.call::<_, UpdateReply>(address, FOLLOW_PATH, &request, timeout);
-        let reply = reply.await;
+        let reply = within(timeout, reply).await;
+        let reply = reply.unwrap_or(Err(PeerError::Timeout));
         let result = if reply.is_ok() { "answered" } else { "failed" };
         let calls = &self.shared.metrics.peer_calls;
         calls.with_label_values(&["follow", result]).inc();
         match reply {
             Ok(reply) => {
-                let is_fresh = reply.holding.age.is_some_and(|age| age <= MAX_DATA_AGE);
+                let is_connected = reply.holding.is_connected();
                 let is_settled = reply.holding.is_settled;
                 let source = address.to_string();
                 let now = self.shared.now();
                 reply.apply(&self.shared, &source, now);
-                if is_fresh || !is_settled {
+                if is_connected || !is_settled {
                     let mut connectivity = self.shared.store_connectivity.borrow_mut();
                     connectivity.record_source(is_settled, now);
                 }
-                if is_fresh {
-                    FollowOutcome::Connected
+                if is_connected {
+                    SourceState::Connected
                 } else {
-                    FollowOutcome::Disconnected
+                    SourceState::Disconnected
                 }
             }
             Err(error) => {
                 slog::debug!(self.shared.log, "news: Followed node did not answer.";
                     "peer" => %address, "error" => %error);
-                FollowOutcome::Unresponsive
+                SourceState::Unresponsive
             }
         }
     }
@@ -185,6 +265,9 @@
             return;
         }
         slog::info!(self.shared.log, "news: Reads the store."; "reason" => reason);
+        let mut connectivity = self.shared.store_connectivity.borrow_mut();
+        connectivity.record_read_start();
+        drop(connectivity);
         let reader = StoreReader::new(Shared::clone(&self.shared));
         self.reader = Some(self.shared.tasks.spawn_owned(reader.run()));
     }
@@ -197,5 +280,8 @@
         let now = self.shared.now();
         let mut connectivity = self.shared.store_connectivity.borrow_mut();
         connectivity.record_read_stop(now);
+        drop(connectivity);
+        // Nodes that wait for changes here look for another source.
+        self.shared.changed.notify(usize::MAX);
     }
 }
