Ignore changes up to a revision before the one that is known

TargetRegistry::apply took each record that wasn't older than the known one, and a target that had been removed since is not known. It stayed until its process ended.

--- a/crates/core/src/targets/target_registry.rs
+++ b/crates/core/src/targets/target_registry.rs
@@ -63,15 +63,16 @@
 
     /// Applies changes up to `revision`. While the connection to the store is not
     /// settled, removed records of ready targets only count as missing. Changes
-    /// of an earlier era are ignored. Returns whether anything but revisions and
-    /// coldness has changed.
+    /// up to a revision before the one that is known are ignored: they may contain
+    /// records of targets that were removed since. Returns whether anything but
+    /// revisions and coldness has changed.
     pub fn apply(
         &mut self,
         changes: Vec<RegistryChange>,
         revision: StoreRevision,
         is_settled: bool,
     ) -> bool {
-        if revision.era < self.revision.era {
+        if revision < self.revision {
             return false;
         }
         let mut is_changed = false;
@@ -81,7 +82,7 @@
                 RegistryChange::Removed { id, revision } => self.remove(&id, revision, is_settled),
             };
         }
-        self.revision = self.revision.max(revision);
+        self.revision = revision;
         is_changed
     }
 
--- a/crates/core/tests/target_registry.rs
+++ b/crates/core/tests/target_registry.rs
@@ -126,6 +126,20 @@
     assert!(registry.get(&id("a")).is_none());
 }
 
+/// Guards against work for a target that has left. A node that had stood still answered a
+/// long poll with its old targets, and the asking node took one back that it had seen
+/// removed since.
+#[test]
+fn late_changes_do_not_bring_back_a_target_that_was_removed_since() {
+    let source = registry_with_two_targets();
+    let late = source.changes_since(revision(1)).expect("all changes");
+    let mut registry = source.clone();
+    registry.apply(vec![removed("b", 3)], revision(3), SETTLED);
+    assert_eq!(ready_targets(&registry), ["a"]);
+    assert!(!registry.apply(late, source.revision(), SETTLED));
+    assert_eq!(ready_targets(&registry), ["a"]);
+}
+
 #[test]
 fn changes_and_listings_of_older_revisions_are_ignored() {
     let mut registry = registry_with_two_targets();
