Take changes from nodes that are not connected, too

Cause: since only connected nodes are followed, a node whose sources all wait for a store that answers slowly asked them for their status and got changes through gossip alone. By reading; no test or play showed it.

Change: a node that is not connected but holds a newer configuration or newer targets, as its status tells, is asked for them once a round.

Result: reader_loss, cut_watches and platform_faults pass.

--- a/crates/gateway/src/store/store_sync.rs
+++ b/crates/gateway/src/store/store_sync.rs
@@ -41,6 +41,15 @@
     Unresponsive,
 }
 
+/// Result of a round in which no node was connected to the store.
+#[derive(Default)]
+struct FailedProbe {
+    /// Number of nodes that did not respond.
+    silent: u32,
+    /// A node that nevertheless holds something newer.
+    newer: Option<SocketAddr>,
+}
+
 impl StoreSync {
     /// Creates the synchronization. It reads nothing until it runs.
     #[must_use]
@@ -146,15 +155,15 @@
                     "unresponsive" => unresponsive);
                 self.keep_source(plan, other);
             }
-            Err(silent) => {
+            Err(probe) => {
                 self.search.record_failed_round();
-                let startup = self.startup();
-                if self
-                    .search
-                    .reads_store(plan, &startup, unresponsive + silent)
-                {
+                unresponsive += probe.silent;
+                if self.search.reads_store(plan, &self.startup(), unresponsive) {
                     self.start_reading("no other node is connected to the store");
                 }
+                if let Some(newer) = probe.newer {
+                    self.follow_node(newer).await;
+                }
                 Timer::after(Duration::from(self.search.pause())).await;
             }
         }
@@ -169,8 +178,9 @@
     }
 
     /// Asks nodes at once whether they are connected to the store. Returns the first
-    /// that is, or else the number of those that did not respond.
-    async fn probe(&self, nodes: Vec<SocketAddr>) -> Result<SocketAddr, u32> {
+    /// that is.
+    async fn probe(&self, nodes: Vec<SocketAddr>) -> Result<SocketAddr, FailedProbe> {
+        let holding = ReplicaStatus::of(&self.shared, self.shared.now());
         let calls = nodes.into_iter().map(async |node| {
             let status = self.shared.peers.call::<_, ReplicaStatus>(
                 node,
@@ -183,19 +193,23 @@
             (node, status)
         });
         let mut calls: FuturesUnordered<_> = calls.collect();
-        let mut silent = 0;
+        let mut failed = FailedProbe::default();
         while let Some((node, status)) = calls.next().await {
             match status {
                 Ok(status) if status.is_connected() => return Ok(node),
-                Ok(_) => {}
+                Ok(status) => {
+                    if status.is_newer_than(&holding) {
+                        failed.newer = Some(node);
+                    }
+                }
                 Err(error) => {
-                    silent += 1;
+                    failed.silent += 1;
                     slog::debug!(self.shared.log, "news: Node did not tell its status.";
                         "peer" => %node, "error" => %error);
                 }
             }
         }
-        Err(silent)
+        Err(failed)
     }
 
     fn sources(&self, plan: &ReaderPlan) -> SourceList {
