Let no part be in progress at each of the crashes that nothing is to blame for

Cause: the test crashes all engines every 40 requests and sends each part every 40 requests, so the same part is in progress at crash after crash and never answered, which is what a deadly part looks like.

The parts come every 37 requests now.

--- a/crates/gateway/tests/deadly_prompts.rs
+++ b/crates/gateway/tests/deadly_prompts.rs
@@ -250,6 +250,11 @@
     assert_eq!(fixture.crashes(), crashes);
 }
 
+/// Requests between two crashes of all engines, and until a part of prompts is used
+/// again. They differ so that no part is in progress at each of the crashes.
+const CRASH_PERIOD: u32 = 40;
+const PART_PERIOD: usize = 37;
+
 /// All engines crash at the same moment, four times, without a part that is to
 /// blame.
 #[test]
@@ -260,7 +265,7 @@
             let sent = (0..REQUESTS / 2).map(|index| {
                 thread::sleep(REQUEST_INTERVAL);
                 fixture.register_engines();
-                let third = format!("c{}", index % 40);
+                let third = format!("c{}", index % PART_PERIOD);
                 let request = prompt_request("/tell/x", index, &third);
                 let address = fixture.gateways[index % GATEWAYS].caller_address;
                 scope.spawn(move || request.fetch(address))
@@ -271,7 +276,7 @@
             texts.collect::<Vec<String>>()
         });
         for _ in 0..4 {
-            thread::sleep(REQUEST_INTERVAL * 40);
+            thread::sleep(REQUEST_INTERVAL * CRASH_PERIOD);
             for engine in &fixture.engines {
                 engine.server().crash();
             }
